--- /dev/null
+++ b/src/simhost/wire.cpp
@@ -0,0 +1,331 @@
+#include "simhost/wire.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <type_traits>
+#include <utility>
+
+namespace micaroad::simhost {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kMicrosPerUnit = 100;  // a Span counts tenths of a millisecond
+
+Span span_of(std::int64_t micros) { return Span{micros / kMicrosPerUnit}; }
+Instant instant_of(std::int64_t micros) { return Instant{span_of(micros)}; }
+
+// The value under a key, or the fallback where it is absent or null.
+template <class T>
+T value_or(const json& object, const char* key, T fallback) {
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? fallback : found->get<T>();
+}
+Span span_or(const json& object, const char* key, Span fallback = Span{}) {
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? fallback : span_of(found->get<std::int64_t>());
+}
+json part_of(const json& object, const char* key) { return value_or(object, key, json::object()); }
+
+// The values of a message, in order; those past the end or null are the type's default.
+class Fields {
+   public:
+    Fields(const json& message, std::size_t next) : message_(message), next_(next) {}
+    template <class T>
+    T take() {
+        const std::size_t at = next_++;
+        return at >= message_.size() || message_[at].is_null() ? T{} : message_[at].get<T>();
+    }
+    template <class T>
+    T take_id() {
+        return T{take<decltype(T::value)>()};
+    }
+    Span take_span() { return span_of(take<std::int64_t>()); }
+
+   private:
+    const json& message_;
+    std::size_t next_;
+};
+
+Method method_of(const json& from, int zone_local) {
+    Method method;
+    method.soft_deadline = span_or(from, "aim_us");
+    method.deadline = span_or(from, "deadline_us", method.soft_deadline);
+    method.token_life = span_or(from, "window_us");
+    method.criticality = value_or(from, "credit", 1.0);
+    const auto semantics = value_or<std::string>(from, "semantics", "unsafe");
+    method.repeats = semantics == "safe"    ? Repeats::idempotent
+                     : semantics == "keyed" ? Repeats::tokened
+                                            : Repeats::non_idempotent;
+    const auto group = value_or<std::string>(from, "group", "cell");
+    method.scope = group == "all"    ? TokenScope::everywhere
+                   : group == "zone" ? TokenScope::zone
+                                     : TokenScope::cell;
+    method.own_zone_only = zone_local != 0;
+    for (const auto& kind : value_or(from, "only_kinds", json::array())) {
+        method.only_kinds.push_back({kind.get<int>()});
+    }
+    for (const auto& zone : value_or(from, "only_zones", json::array())) {
+        method.only_zones.push_back({zone.get<int>()});
+    }
+    return method;
+}
+
+Terms terms_of(const json& profile) {
+    const json family = part_of(profile, "family_info");
+    const json rules = part_of(profile, "rules");
+    const json goal = part_of(profile, "score_parts");
+    const json local = value_or(family, "stays_local", json::array());
+    Terms terms;
+    for (const auto& from : value_or(profile, "classes", json::array())) {
+        const std::size_t at = terms.methods.size();
+        terms.methods.push_back(method_of(from, at < local.size() && local[at].get<bool>()));
+    }
+    terms.zones = static_cast<int>(value_or(profile, "zones", json::array()).size());
+    terms.proxies = value_or(family, "data_plane_size", 1);
+    terms.lines_per_second = value_or(family, "channel_rate", 1.0);
+    terms.lines_per_message = value_or(family, "head", 0.0);
+    terms.lines_waiting_most = value_or(family, "queue_cap", 0.0);
+    terms.messages_most = value_or(family, "pushes_allowed", 0);
+    terms.messages_span = span_or(family, "messages_over_us");
+    terms.report_every = span_or(family, "report_every_us");
+    terms.message_longest = span_or(family, "transit_max_us");
+    terms.drain_grace = span_or(rules, "stop_sending_within_us");
+    terms.warm_after = span_or(rules, "warm_after_us");
+    terms.cold_capacity = value_or(rules, "start_capacity", 1.0);
+    const auto admission = value_or<std::string>(family, "admission", "none");
+    terms.levels = admission == "share"  ? LevelKind::share
+                   : admission == "rate" ? LevelKind::rate
+                                         : LevelKind::none;
+    const int base_mode = value_or(family, "base_mode", 0);
+    terms.further_tries = static_cast<FurtherTry>(std::clamp(base_mode, 0, 3));
+    terms.worst_method_weight = value_or(goal, "worst_class", 0.0);
+    terms.whole_weight = value_or(goal, "whole", 1.0);
+    terms.must_subscribe = value_or<std::string>(profile, "registry_mode", "automatic") == "subscribe";
+    terms.slices = value_or(family, "slices", 0);
+    terms.single_owner = value_or(family, "exclusive", false);
+    terms.owner_lease = span_or(family, "lease_us");
+    terms.write_life = span_or(family, "write_life_us");
+    return terms;
+}
+
+event::List list_of(Fields fields) {
+    event::List list;
+    const auto form = fields.take<std::string>();
+    list.form = form == "update"    ? event::List::Form::changes
+                : form == "replace" ? event::List::Form::complete
+                : form == "restored" ? event::List::Form::restored
+                                     : event::List::Form::unavailable;
+    fields.take<std::int64_t>();  // the list's version: lists come in order
+    for (const auto& entry : fields.take<json>()) {
+        Fields values(entry, 0);
+        ListedServer server;
+        server.server = values.take_id<ServerId>();
+        server.zone = values.take_id<ZoneId>();
+        server.kind = values.take_id<KindId>();
+        server.cell = values.take_id<CellId>();
+        const auto phase = values.take<std::string>();
+        server.phase = phase == "Ready"         ? Phase::ready
+                       : phase == "Terminating" ? Phase::draining
+                                                : Phase::gone;
+        server.size = values.take<double>();
+        if (const auto started = values.take<std::int64_t>(); started != 0) {
+            server.last_start = instant_of(started);
+        }
+        list.servers.push_back(std::move(server));
+    }
+    return list;
+}
+
+// Absent for an event that planners have no use for.
+std::optional<Event> event_of(const std::string& name, Fields f) {
+    if (name == "directory_update") {
+        return list_of(f);
+    }
+    if (name == "deadline_hit") {
+        return event::TimerDue{f.take_id<TimerId>()};
+    }
+    if (name == "stream_up") {
+        event::ProxyJoined joined;
+        joined.zone = f.take_id<ZoneId>();
+        joined.rpcs_per_second = f.take<double>();
+        joined.proxy = f.take_id<ProxyId>();
+        return joined;
+    }
+    if (name == "dropped_off") {
+        return event::ProxyLeft{f.take_id<ProxyId>()};
+    }
+    if (name == "in_force") {
+        event::MarkApplied applied;
+        applied.proxy = f.take_id<ProxyId>();
+        applied.mark = f.take_id<MarkId>();
+        return applied;
+    }
+    if (name == "roundup") {
+        event::Outcomes met;
+        met.bad = f.take<double>();
+        met.tries = f.take<double>();
+        met.mean = f.take_span();
+        met.from = f.take_id<ZoneId>();
+        met.server = f.take_id<ServerId>();
+        met.over = f.take_span();
+        return met;
+    }
+    if (name == "intake") {
+        event::Arrivals came;
+        came.over = f.take_span();
+        came.count = f.take<double>();
+        came.method = f.take_id<MethodId>();
+        came.unanswered = f.take<double>();
+        came.proxy = f.take_id<ProxyId>();
+        return came;
+    }
+    if (name == "range_load") {
+        event::SliceArrivals came;
+        came.slice = f.take_id<TableId>();
+        came.method = f.take_id<MethodId>();
+        came.count = f.take<double>();
+        came.unanswered = f.take<double>();
+        came.over = f.take_span();
+        return came;
+    }
+    if (name == "leased") {
+        event::SliceGiven given;
+        given.slice = f.take_id<TableId>();
+        given.ours = f.take<bool>();
+        return given;
+    }
+    if (name == "current_owner") {
+        event::SliceOwner owner;
+        owner.slice = f.take_id<TableId>();
+        owner.server = f.take_id<ServerId>();
+        owner.weight = f.take<double>();
+        return owner;
+    }
+    if (name == "health_result") {
+        event::Probed probed;
+        probed.server = f.take_id<ServerId>();
+        probed.ok = f.take<std::string>() == "GOOD";
+        probed.took = f.take_span();
+        return probed;
+    }
+    if (name == "peer_data") {
+        event::PeerSaid said;
+        said.from = f.take_id<PlannerId>();
+        said.text = f.take<std::string>();
+        return said;
+    }
+    throw WireError("unknown event '" + name + "'");
+}
+
+std::int64_t lanes_of(const std::vector<MethodId>& methods) {
+    std::int64_t lanes = 0;
+    for (const auto& method : methods) {
+        lanes |= std::int64_t{1} << method.value;
+    }
+    return lanes;
+}
+
+struct ActionOf {
+    constexpr static int kEveryProxy = 65535;
+    constexpr static int kEveryPeer = -1;
+    const std::string& i;
+
+    json operator()(const order::SetLine& o) const {
+        return {"set_line", i, o.table.value, o.server.value, o.weight};
+    }
+    json operator()(const order::ClearTable& o) const { return {"blank", i, o.table.value}; }
+    json operator()(const order::Bind& o) const {
+        return {"pin", i, o.table.value, lanes_of(o.methods), o.proxy.value};
+    }
+    json operator()(const order::SetLevel& o) const {
+        return {"ration",         i,        o.table ? o.table->value : kEveryProxy,
+                lanes_of(o.methods), o.amount, static_cast<int>(o.further_tries)};
+    }
+    json operator()(const order::Withdraw& o) const { return {"suspend", i, o.server.value, o.out}; }
+    json operator()(const order::Mark& o) const { return {"seal", i, o.mark.value, o.everyone}; }
+    json operator()(const order::StartTimer& o) const {
+        return {"timer", i, o.after.count() * kMicrosPerUnit, o.timer.value};
+    }
+    json operator()(const order::Probe& o) const { return {"ask_load", i, o.server.value}; }
+    json operator()(const order::Subscribe& o) const { return {"listen", i, o.on}; }
+    json operator()(const order::FetchList&) const { return {"refresh", i}; }
+    json operator()(const order::TellPeer& o) const {
+        return {"publish", i, o.to ? o.to->value : kEveryPeer, o.text};
+    }
+    json operator()(const order::LogLine& o) const { return {"journal_line", i, o.text}; }
+};
+
+}  // namespace
+
+void Host::take(const json& event) {
+    Fields head(event, 0);
+    const auto name = head.take<std::string>();
+    const auto whom = head.take<std::string>();
+    if (whom.empty()) {
+        throw WireError("an event names no instance");
+    }
+    if (name == "kill") {
+        instances_.erase(whom);
+        std::erase(spoken_to_, whom);
+        return;
+    }
+    if (std::find(spoken_to_.begin(), spoken_to_.end(), whom) == spoken_to_.end()) {
+        spoken_to_.push_back(whom);
+    }
+    std::optional<Event> heard;
+    if (name != "launch") {
+        heard = event_of(name, head);
+    }
+    Instance& instance = instances_[whom];
+    try {
+        if (heard) {
+            if (instance.planner) {
+                instance.planner->hear(std::move(*heard));
+            }
+            return;
+        }
+        const auto seed = head.take<std::uint64_t>();
+        Terms terms = terms_of(head.take<json>());
+        instance = Instance{};
+        instance.planner.emplace(std::move(terms), seed);
+    } catch (const json::exception&) {
+        throw;
+    } catch (const std::exception& failed) {
+        instance = Instance{std::nullopt, failed.what()};
+    }
+}
+
+std::string Host::answer(const std::string& line) try {
+    const json batch = json::parse(line);
+    const Instant now = instant_of(batch.at("t_us").get<std::int64_t>());
+    spoken_to_.clear();
+    for (const auto& event : batch.at("inbox")) {
+        if (!event.is_array()) {
+            throw WireError("an event is not an array");
+        }
+        take(event);
+    }
+    json actions = json::array();
+    for (const auto& whom : spoken_to_) {
+        Instance& instance = instances_[whom];
+        try {
+            if (instance.planner) {
+                for (const auto& order : instance.planner->decide(now)) {
+                    actions.push_back(std::visit(ActionOf{whom}, order));
+                }
+            }
+        } catch (const std::exception& failed) {
+            instance = Instance{std::nullopt, failed.what()};
+        }
+        if (!instance.failure.empty()) {
+            actions.push_back({"fatal", whom, instance.failure});
+        }
+    }
+    return json{{"do", std::move(actions)}}.dump();
+} catch (const json::exception& bad) {
+    throw WireError(bad.what());
+}
+
+}  // namespace micaroad::simhost
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "simhost/wire.hpp"
+
+using micaroad::simhost::Host;
+using micaroad::simhost::WireError;
+using nlohmann::json;
+
+namespace {
+
+json play(Host& host, std::int64_t t_us, json inbox) {
+    return json::parse(host.answer(json{{"t_us", t_us}, {"inbox", std::move(inbox)}}.dump())).at("do");
+}
+
+json launch(const char* whom) {
+    const json profile{
+        {"classes", {{{"name", "look"}, {"aim_us", 1'000'000}, {"semantics", "safe"}, {"unheard_of", 1}}}},
+        {"family_info", {{"channel_rate", 1000}, {"queue_cap", 1000}, {"data_plane_size", 2}}},
+        {"zones", {"a"}}};
+    return {"launch", whom, 5, profile};
+}
+
+json list(const char* whom) {
+    return json::parse(R"(["directory_update","W","restored",1,[["server.a",0,0,0,"Ready",1,null],
+        ["server.b",0,0,0,"Ready",1]]])").patch(json{{{"op", "replace"}, {"path", "/1"}, {"value", whom}}});
+}
+
+std::size_t count(const json& actions, const std::string& name, const std::string& whom) {
+    return static_cast<std::size_t>(std::count_if(actions.begin(), actions.end(), [&](const json& action) {
+        return action.at(0) == name && action.at(1) == whom;
+    }));
+}
+
+}  // namespace
+
+TEST_CASE("a batch reaches its instances and no other") {
+    Host host;
+    const json first = play(host, 1000, {launch("planner/0"), list("planner/0"), launch("planner/1"),
+                                         list("planner/1"), {"stream_up", "planner/1", 0, 2.5, 4, true}});
+    CHECK(count(first, "set_line", "planner/0") == 2);
+    CHECK(count(first, "pin", "planner/0") == 0);
+    CHECK(count(first, "pin", "planner/1") == 1);
+    CHECK(first.back() == json{"pin", "planner/1", 1, 1, 4});
+    CHECK(play(host, 3000, json::array()).empty());
+}
+
+TEST_CASE("a kill loses everything, and a launch in the same batch starts anew") {
+    Host host;
+    play(host, 1000, {launch("planner/0"), list("planner/0"), {"stream_up", "planner/0", 0, 2.5, 4, true}});
+    const json again =
+        play(host, 9000, {{"kill", "planner/0"}, launch("planner/0"), list("planner/0")});
+    CHECK(count(again, "set_line", "planner/0") == 2);
+    CHECK(count(again, "pin", "planner/0") == 0);
+    CHECK(play(host, 9500, json::array({{"kill", "planner/0"}})).empty());
+    CHECK(play(host, 9900, json::array({{"dropped_off", "planner/0", 4}})).empty());
+}
+
+TEST_CASE("absent and null values are their type's default") {
+    Host host;
+    play(host, 1000, {launch("planner/0"), list("planner/0")});
+    CHECK_NOTHROW(play(host, 2000, {{"roundup", "planner/0", 1, 3, nullptr, nullptr, "server.a", 2000, nullptr},
+                                    {"in_force", "planner/0"}}));
+}
+
+TEST_CASE("what can't be read is said and not answered") {
+    Host host;
+    const auto line = GENERATE("nonsense", "[]", R"({"t_us":1})", R"({"t_us":1,"inbox":[7]})",
+                               R"({"t_us":1,"inbox":[["no_such_event","planner/0"]]})",
+                               R"({"t_us":1,"inbox":[["kill"]]})",
+                               R"({"t_us":1,"inbox":[["stream_up","planner/0","zero"]]})");
+    CHECK_THROWS_AS(host.answer(line), WireError);
+}
