--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -45,9 +45,9 @@
 };
 struct Wish { TableId table; ServerId server; double share; bool urgent; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
-struct Strain { double lateness; double eased; double answered; };  // of the whole fleet
+struct Strain { double answer, soft_deadline, rate, servers, eased; };  // of the whole fleet, in seconds
 struct Demand { std::vector<double> rates; };  // RPCs a second let in, by method
-struct LevelWish { MethodId method; double amount; FurtherTry further; };
+struct LevelWish { MethodId method; double amount; };
 
 using Note = std::variant<Listed, Unlisted, Met, Beat, Step, Pulse, Standing, Wish, Binding, Strain, Demand,
                           LevelWish, event::ProxyJoined, event::ProxyLeft, event::Arrivals, event::SliceGiven,
@@ -367,16 +367,16 @@
             late = answer;
             if ((heavier -= weight) <= 0) break;
         }
-        double ok = 0;
-        for (const auto& [id, member] : members) ok += member.seen.open ? member.seen.tries - member.seen.bad : 0;
-        gate.inbox.push_back(Strain{late / limit, open > 0 ? eased / open : 1, ok / window});
+        gate.inbox.push_back(Strain{late, limit, counted / window, open, eased / open});
         return true;
     }
     static constexpr double kLeastOwed = 5;
 
-    // Mechanism 2, the design's start at a quarter and doubling, kept up for as long as a server may be cold.
-    static double ceiling(const Standing& server) {
-        return std::min(1.0, 0.25 * std::pow(2.0, std::min(server.steps_open / 2, 10)));
+    // Mechanism 2. The design starts a fresh server at a quarter of its listed share; here at half of the part of
+    // its capacity that it is told to start with, as further tries can double what a busy fleet sends. It doubles
+    // every other step, for as long as the server may be cold.
+    double ceiling(const Standing& server) const {
+        return std::min(1.0, desk.terms.cold_capacity / 2 * std::pow(2.0, std::min(server.steps_open / 2, 10)));
     }
 
     template <class ShareOf>
@@ -481,20 +481,19 @@
         weigher.inbox.push_back(demand);
     }
 
-    // Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause: when the median server
-    // answers past half the limit, what is let in falls towards what was answered, and comes back by steps. It
-    // should answer overload, shared slowness and retry storms. It could harm where RPCs are late for a reason
-    // that load does not change; the floor keeps most of them coming.
+    // Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause: what is let in follows the
+    // same M/M/1 model, which tells how much less load brings the median answer back to a part of the soft
+    // deadline, and how much more it still bears. It should answer overload, shared slowness and retry storms. It
+    // could harm where RPCs are late for a reason that load does not change; the floor keeps most of them coming.
     void on(const Strain& note) {
         ++steps_since_cut;
-        const double arriving = std::accumulate(came.begin(), came.end(), 0.0) / std::max(window, 0.1);
-        if (note.lateness > kLate && steps_since_cut > kSettleSteps) {
-            const double answered = arriving > 0 ? note.answered / arriving : 1;
-            let_in = std::clamp(std::min(let_in * kLate / note.lateness, answered), let_in * 0.7, let_in * 0.95);
-            let_in = std::max(let_in, kLeastLetIn);
+        const double aim = kAim * note.soft_deadline;
+        const double room = 1 + note.servers * (1 / note.answer - 1 / aim) / std::max(note.rate, 1e-6);
+        if (note.answer > aim && steps_since_cut > kSettleSteps) {
+            let_in = std::max(let_in * std::clamp(room, 0.75, 1.0), kLeastLetIn);
             steps_since_cut = 0;
-        } else if (note.lateness < kEarly) {
-            let_in = std::min(1.0, let_in * 1.07);
+        } else if (note.answer < 0.75 * aim) {
+            let_in = std::min(1.0, let_in * std::min(room, 1.25));
         }
         share_out(std::min(let_in, 2 * note.eased));
         for (double& count : came) count *= Server::kMemory;
@@ -502,7 +501,7 @@
     }
 
    private:
-    static constexpr double kLate = 0.55, kEarly = 0.4;  // mean answers so late put p95 past the limit
+    static constexpr double kAim = 0.6;  // a mean so late leaves a fifth of exponential answers past the deadline
     static constexpr double kLeastLetIn = 0.3;
     static constexpr int kSettleSteps = 1;  // the next reports still show RPCs let in before the cut
 
@@ -539,21 +538,18 @@
             if (desk.terms.levels == LevelKind::rate) {
                 amount = amount >= 1 ? 1e6 : amount * came[m] / std::max(window, 0.1) / desk.terms.proxies;
             }
-            channel.inbox.push_back(LevelWish{MethodId{static_cast<int>(m)}, amount, further(methods[m], whole)});
+            channel.inbox.push_back(LevelWish{MethodId{static_cast<int>(m)}, amount});
         }
     }
-
-    // Mechanism 4. A further try after a failure only where no effect can come twice: idempotent methods, and
-    // only while all are let in, as it adds load. For all others only after proof that the first never ran.
-    static FurtherTry further(const Method& method, double whole) {
-        return method.repeats == Repeats::idempotent && whole >= 1 ? FurtherTry::once_after_failure
-                                                                   : FurtherTry::once_if_never_ran;
-    }
 };
 
 // ---- The channel: what goes to the proxies, and when ----------------------------------------------------------
 
 struct Channel : Part {
+    // Mechanism 4. A further try only after proof that the first never ran: no effect can come twice, whatever the
+    // method, and a busy fleet is not sent the same work twice.
+    static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
+
     struct Line {
         double wanted = 0, sent = 0;
         bool urgent = false;
@@ -568,15 +564,14 @@
     std::map<TableId, std::map<ServerId, Line>> tables;
     std::map<ProxyId, Proxy> proxies;
     std::vector<ProxyId> joining;
-    struct Level { double amount = 1; FurtherTry further; };
-    std::vector<Level> wanted_levels, sent_levels;
+    std::vector<double> wanted_levels, sent_levels;  // by method
     double waiting = 0;    // lines, as if the channel ran at a part of its pace
     double allowance = 0;  // lines that ordinary changes may use
     Instant counted{};
 
     explicit Channel(Desk& desk) : desk(desk) {
-        wanted_levels.assign(desk.terms.methods.size(), Level{1, desk.terms.further_tries});
-        sent_levels = wanted_levels;
+        wanted_levels.assign(desk.terms.methods.size(), 1.0);
+        sent_levels.assign(wanted_levels.size(), desk.terms.further_tries == kFurther ? 1.0 : 0.0);
     }
 
     void on(const Binding& note) { bindings.push_back(note); }
@@ -585,7 +580,7 @@
         line.wanted = note.share;
         line.urgent |= note.urgent;
     }
-    void on(const LevelWish& note) { wanted_levels[note.method.value] = {note.amount, note.further}; }
+    void on(const LevelWish& note) { wanted_levels[note.method.value] = note.amount; }
     void on(const event::ProxyJoined& note) {
         proxies[note.proxy] = Proxy{note.zone, {}};
         joining.push_back(note.proxy);
@@ -612,6 +607,7 @@
 
    private:
     static constexpr double kSurePace = 0.6;  // a channel may run slower than told
+    static constexpr double kLevelWorthSending = 0.03;
     static constexpr double kWorthSending = 0.1;  // the design's: share changes over a tenth go out
     static constexpr double kDesignHead = 6;      // the design counts a message so
 
@@ -673,14 +669,11 @@
             lines += 1;
         }
         for (std::size_t m = 0; m < wanted_levels.size(); ++m) {
-            Level& sent = sent_levels[m];
-            const Level& wanted = wanted_levels[m];
-            const bool same = sent.further == wanted.further &&
-                              std::abs(wanted.amount - sent.amount) <= 0.03 * sent.amount &&
-                              (wanted.amount < 1 || sent.amount >= 1);
+            const double wanted = wanted_levels[m], sent = sent_levels[m];
+            const bool same = std::abs(wanted - sent) <= kLevelWorthSending && (wanted < 1 || sent >= 1);
             if (same || !fits(1)) continue;
-            sent = wanted;
-            desk.orders.push_back(order::SetLevel{{}, {MethodId{static_cast<int>(m)}}, sent.amount, sent.further});
+            sent_levels[m] = wanted;
+            desk.orders.push_back(order::SetLevel{{}, {MethodId{static_cast<int>(m)}}, wanted, kFurther});
             lines += 1;
         }
         if (lines == 0) return;
