--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -490,7 +490,7 @@
         const double aim = kAim * note.soft_deadline;
         const double room = 1 + note.servers * (1 / note.answer - 1 / aim) / std::max(note.rate, 1e-6);
         if (note.answer > aim && steps_since_cut > kSettleSteps) {
-            let_in = std::max(let_in * std::clamp(room, 0.75, 1.0), kLeastLetIn);
+            let_in = std::max(let_in * std::clamp(aim / note.answer, 0.6, 1.0), kLeastLetIn);
             steps_since_cut = 0;
         } else if (note.answer < 0.75 * aim) {
             let_in = std::min(1.0, let_in * std::min(room, 1.25));
@@ -501,7 +501,7 @@
     }
 
    private:
-    static constexpr double kAim = 0.6;  // a mean so late leaves a fifth of exponential answers past the deadline
+    static constexpr double kAim = 0.7;  // a mean so late leaves a fifth of exponential answers past the deadline
     static constexpr double kLeastLetIn = 0.3;
     static constexpr int kSettleSteps = 1;  // the next reports still show RPCs let in before the cut
 
@@ -783,39 +783,39 @@
 
 // ---- The prediction ------------------------------------------------------------------------------------------
 
-// Queues as M/M/1 has them. The design clamps u at 0.95; past it the queue goes on along its tangent, as a flat
-// cost would have no slope just where it matters.
+// Queues and tail as M/M/1 has them. The design clamps u at 0.95; past it the queue goes on along its tangent and
+// the spare capacity fades towards none, as a flat prediction has no slope just where it matters.
 Prospect look_ahead(std::span<const ServerLoad> servers, TailTerm tail) {
     constexpr double kClamp = 0.95;
     Prospect ahead;
     double total = 0, slowest = 1e300;
+    std::vector<double> spare, fading;  // spare capacity, and how fast it falls as the rate grows
     for (const auto& [rate, capacity] : servers) {
         const double u = rate / capacity;
         const double v = std::min(u, kClamp);
         const double slope = 1 / ((1 - v) * (1 - v));
         ahead.cost += v / (1 - v) + (u - v) * slope;
         ahead.slope.push_back(slope / capacity);
+        fading.push_back(std::exp(-(u - v) / (1 - kClamp)));
+        spare.push_back(capacity * (1 - v) * fading.back());
         total += rate;
-        slowest = std::min(slowest, std::max(capacity - rate, (1 - kClamp) * capacity));
+        slowest = std::min(slowest, spare.back());
     }
     if (total <= 0) return ahead;
-    const auto spare = [](const ServerLoad& s) { return std::max(s.capacity - s.rate, (1 - kClamp) * s.capacity); };
-    const auto unanswered = [&](double t) {
-        double sum = 0;
-        for (const auto& s : servers) sum += s.rate / total * std::exp(-spare(s) * t);
-        return sum;
-    };
+    const auto unanswered = [&](std::size_t i, double t) { return servers[i].rate / total * std::exp(-spare[i] * t); };
     double low = 0, high = 3.0 / slowest;  // e^-3 is under 0.05
-    for (int round = 0; round < 50; ++round) (unanswered((low + high) / 2) > 0.05 ? low : high) = (low + high) / 2;
+    for (int round = 0; round < 60; ++round) {
+        const double t = (low + high) / 2;
+        double sum = 0;
+        for (std::size_t i = 0; i < servers.size(); ++i) sum += unanswered(i, t);
+        (sum > 0.05 ? low : high) = t;
+    }
     const double t = ahead.p95 = (low + high) / 2;
     double falling = 0;
-    for (const auto& s : servers) falling += s.rate / total * spare(s) * std::exp(-spare(s) * t);
+    for (std::size_t i = 0; i < servers.size(); ++i) falling += spare[i] * unanswered(i, t);
     ahead.cost += tail.factor * t / tail.limit;
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        const auto& s = servers[i];
-        const bool clamped = s.capacity - s.rate < (1 - kClamp) * s.capacity;
-        const double rest = std::exp(-spare(s) * t);
-        const double raise = (rest - 0.05 + (clamped ? 0 : s.rate * t * rest)) / total;
+        const double raise = (std::exp(-spare[i] * t) - 0.05) / total + fading[i] * t * unanswered(i, t);
         ahead.slope[i] += tail.factor / tail.limit * raise / falling;
     }
     return ahead;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -283,7 +283,7 @@
 
 TEST_CASE("the slope is that of the predicted cost") {
     // The last two are past the clamp and close to it.
-    const std::vector<ServerLoad> at{{4, 10}, {7, 9}, {1, 8}, {2, 3}, {9.9, 10}, {9.3, 10}};
+    const std::vector<ServerLoad> at{{4, 10}, {7, 9}, {1, 8}, {2, 3}, {9.9, 10}, {9.3, 10}, {11, 10}};
     const TailTerm tail{40, 1.5};
     const Prospect here = look_ahead(at, tail);
     for (std::size_t i = 0; i < at.size(); ++i) {
