Levels brake, then go back to what was borne

Now a cut goes under what the fleet bears so that queues drain, and the way back is quick; doubt leans on ok answers.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -246,7 +246,7 @@
     static constexpr double kLeastGain = 0.01;
     // No learnt share is under this part of the largest: what is never tried can't be seen to have recovered.
     static constexpr double kFloor = 0.02;
-    // So many RPCs of evidence weigh as much as the pool's mean.
+    // So many RPCs of evidence weigh as much as the mean answer of the whole pool.
     static constexpr double kDoubt = 4;
 
     Members open_members() {
@@ -281,7 +281,7 @@
     // could harm where few RPCs come, as chance then looks like silence: hence three deviations.
     bool weigh_evidence(const Members& open) {
         std::vector<double> means;
-        double tries = 0, window = 0, rate = 0, answer_all = 0, counted = 0;
+        double tries = 0, window = 0, rate = 0, ok_seconds = 0, ok = 0, counted = 0;
         for (const Member* m : open) {
             tries += m->seen.tries;
             window = std::max(window, m->seen.window);
@@ -305,12 +305,13 @@
             const double owed = silent ? expected - m->seen.tries : 0;
             m->rate = m->seen.tries + owed;
             m->answer = m->seen.answer_seconds + (m->seen.bad + owed) * 2 * limit;
-            answer_all += m->answer;
+            ok_seconds += m->seen.answer_seconds;
+            ok += m->seen.tries - m->seen.bad;
             counted += m->rate;
         }
         std::vector<std::pair<double, double>> by_answer;
         for (Member* m : open) {
-            m->answer = (m->answer + kDoubt * answer_all / counted) / (m->rate + kDoubt);
+            m->answer = (m->answer + kDoubt * ok_seconds / ok) / (m->rate + kDoubt);
             m->rate /= window;
             by_answer.emplace_back(m->answer, m->rate);
         }
@@ -399,8 +400,8 @@
 // ---- Levels ----------------------------------------------------------------------------------------------
 
 // Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause: when the median server
-// answers later than a part of the soft deadline, what is let in falls in proportion, and it comes back as soon
-// as answers are early again. It should answer overload, shared slowness and retry storms. It could harm where
+// answers later than a part of the soft deadline, what is let in falls well under what the fleet can bear, so that
+// queues drain, and once answers are early again it goes back to a little less than what was too much. It should answer overload, shared slowness and retry storms. It could harm where
 // RPCs are late for a reason that load does not change; the floor keeps part of them coming.
 struct Gate : Part {
     Desk& desk;
@@ -408,6 +409,7 @@
     std::vector<double> came = std::vector<double>(desk.terms.methods.size());  // RPCs, older ones fading
     std::vector<double> level = std::vector<double>(came.size(), 1.0);
     double window = 0, let_in = 1;
+    double bearable = 1;  // what the fleet is held to bear once its queues are short again
     int settled = 0;  // steps since the last cut
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
@@ -424,17 +426,19 @@
     void on(const Strain& note) {
         const double aim = kAim * note.soft_deadline;
         if (note.answer > aim && ++settled > kSettle) {
-            let_in = std::max(let_in * std::max(aim / note.answer, 0.6), kLeastLetIn);
+            if (let_in >= 0.95 * bearable) bearable *= kBackOff;
+            let_in = std::max(bearable * std::max(aim / note.answer, 0.5), kLeastLetIn);
             settled = 0;
         } else if (note.answer < 0.75 * aim) {
-            let_in = std::min(1.0, let_in * 1.25);
+            bearable = std::min(1.0, bearable * 1.06);
+            let_in = std::min(bearable, let_in * 1.5);
         }
         share_out();
     }
 
    private:
     static constexpr double kAim = 0.7;  // a mean so late puts a quarter of exponential answers past it
-    static constexpr double kLeastLetIn = 0.3;
+    static constexpr double kLeastLetIn = 0.3, kBackOff = 0.85;
     static constexpr int kSettle = 1;  // the next reports still show RPCs let in before the cut
 
     // Least criticality first, or all methods alike: whichever keeps more of the goal.
