--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -246,8 +246,9 @@
     static constexpr double kLeastGain = 0.01;
     // No learnt share is under this part of the largest: what is never tried can't be seen to have recovered.
     static constexpr double kFloor = 0.02;
-    // So many RPCs of evidence weigh as much as the mean answer of the whole pool.
-    static constexpr double kDoubt = 4;
+    // The design counts an unheard server as the pool's mean; here so many RPCs of evidence weigh as much as the
+    // mean answer of its kind: answers vary about threefold more than servers of a kind do.
+    static constexpr double kDoubt = 10;
 
     Members open_members() {
         Members open;
@@ -281,7 +282,7 @@
     // could harm where few RPCs come, as chance then looks like silence: hence three deviations.
     bool weigh_evidence(const Members& open) {
         std::vector<double> means;
-        double tries = 0, window = 0, rate = 0, ok_seconds = 0, ok = 0, counted = 0;
+        double tries = 0, window = 0, rate = 0, counted = 0;
         for (const Member* m : open) {
             tries += m->seen.tries;
             window = std::max(window, m->seen.window);
@@ -296,6 +297,8 @@
             limit = std::max(2 * means[means.size() / 2], seconds(soonest));
         }
         for (const Pool& pool : pools) rate += pool.rate;
+        const double mean = std::accumulate(means.begin(), means.end(), 0.0) / std::ssize(means);
+        std::map<KindId, std::pair<double, double>> kinds;  // seconds of ok answers, and how many
         for (Member* m : open) {
             double expected = 0;
             for (std::size_t k = 0; k < pools.size(); ++k) {
@@ -305,12 +308,14 @@
             const double owed = silent ? expected - m->seen.tries : 0;
             m->rate = m->seen.tries + owed;
             m->answer = m->seen.answer_seconds + (m->seen.bad + owed) * 2 * limit;
-            ok_seconds += m->seen.answer_seconds;
-            ok += m->seen.tries - m->seen.bad;
+            auto& [ok_seconds, ok] = kinds[m->seen.entry.kind];
+            ok_seconds += m->seen.answer_seconds + kDoubt * mean;
+            ok += m->seen.tries - m->seen.bad + kDoubt;
             counted += m->rate;
         }
         std::vector<std::pair<double, double>> by_answer;
         for (Member* m : open) {
+            const auto& [ok_seconds, ok] = kinds[m->seen.entry.kind];
             m->answer = (m->answer + kDoubt * ok_seconds / ok) / (m->rate + kDoubt);
             m->rate /= window;
             by_answer.emplace_back(m->answer, m->rate);
