--- a/include/micaroad/planner.hpp
+++ b/include/micaroad/planner.hpp
@@ -8,8 +8,8 @@
 #pragma once
 
 #include <memory>
-#include <span>
 #include <string>
+#include <valarray>
 #include <variant>
 #include <vector>
 
@@ -163,19 +163,17 @@
 };
 
 // The design's prediction, open to tests: what a set of servers costs at a load, and how that cost changes with it.
-struct ServerLoad {
-    double rate = 0;      // RPCs a second, as predicted
-    double capacity = 0;  // RPCs a second
-};
+using Row = std::valarray<double>;  // a figure for each of some servers or methods
 struct TailTerm {
     double factor = 0;  // what a predicted p95 of one limit costs
     double limit = 1;   // seconds
 };
 struct Prospect {
     double cost = 0;
-    double p95 = 0;             // seconds
-    std::vector<double> slope;  // of the cost, by each server's rate
+    double p95 = 0;  // seconds
+    Row slope;       // of the cost, by each server's rate
 };
-Prospect look_ahead(std::span<const ServerLoad> servers, TailTerm tail);
+// Rates and capacities are RPCs a second.
+Prospect look_ahead(const Row& rate, const Row& capacity, TailTerm tail);
 
 }  // namespace micaroad
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,11 +1,9 @@
 // micaroad's decisions, all of them.
 //
-// How to call it: see include/micaroad/planner.hpp, its interface. Events are heard; decide() empties every
-// inbox and hands back the orders. docs/design.md gives the reasons.
-//
-// The ordinary path is the design's: a softmax weight for each server and pool, bounded gradient steps on the
-// queues and the tail that an M/M/1 model predicts, one shared table a pool, largest changes first.
-// Beside it stand six mechanisms:
+// To call it: hear() events, then decide() empties every inbox and hands back the orders; the interface is
+// include/micaroad/planner.hpp, the reasons are in docs/design.md. The ordinary path is the design's: a
+// softmax weight for each server and pool, bounded gradient steps on the queues and the tail that an M/M/1
+// model predicts, one shared table a pool, largest changes first. Beside it stand six mechanisms:
 //   1. failures and owed answers count as late answers  (Weigher::weigh_evidence)
 //   2. a fresh server's share is eased                  (Weigher::ceiling)
 //   3. levels when the whole fleet is late              (Gate)
@@ -20,6 +18,7 @@
 #include <random>
 #include <set>
 #include <utility>
+#include <valarray>
 
 #include "micaroad/planner.hpp"
 
@@ -35,13 +34,22 @@
     return low;
 }
 
+// The value that half of the weight lies under.
+double middle(const Row& values, const Row& weights) {
+    std::vector<std::pair<double, double>> sorted;
+    for (std::size_t i = 0; i < values.size(); ++i) sorted.emplace_back(values[i], weights[i]);
+    std::sort(sorted.begin(), sorted.end());
+    double rest = weights.sum() / 2;
+    for (const auto& [value, weight] : sorted) if ((rest -= weight) <= 0) return value;
+    return 0;
+}
+
 // The design starts at 5 s; half of it follows troubles and still sees several RPCs a server.
 constexpr Span kStepEvery = std::chrono::milliseconds(2500);
-// At each step what was heard before it counts half: one step alone sees too few RPCs to tell speeds apart.
+// What was heard before a step counts half at the next: one alone sees too few RPCs to tell speeds apart.
 constexpr double kMemory = 0.5;
 
 // ---- Notes: what the parts put into each other's inboxes -------------------------------------------------
-// clang-format off
 
 struct Listed { ListedServer entry; };
 struct Unlisted {};  // a complete list without it
@@ -57,18 +65,15 @@
 };
 struct Wish { TableId table; ServerId server; double share; bool urgent; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
-struct Strain { double answer, soft_deadline; };     // of the median server, seconds
-struct Demand { std::vector<double> rates; };        // RPCs a second let in, by method
-struct Levels { std::vector<double> amounts; };      // by method
+struct Strain { double answer, soft_deadline; };    // of the median server, seconds
+struct Demand { Row rates; };                       // RPCs a second let in, by method
+struct Levels { Row amounts; };                     // by method
 
 using Note = std::variant<Listed, Unlisted, Beat, Step, Pulse, Resubscribe, Standing, Wish, Binding, Strain,
                           Demand, Levels, event::Outcomes, event::ProxyJoined, event::ProxyLeft,
                           event::Arrivals, event::SliceGiven, event::SliceOwner>;
-// clang-format on
 
-struct Part {
-    std::deque<Note> inbox;
-};
+struct Part { std::deque<Note> inbox; };
 
 // What every part may look at.
 struct Desk {
@@ -98,9 +103,8 @@
     }
 
     void on(const Unlisted&) {
-        if (!std::exchange(self.open, false)) return;
         self.entry.phase = Phase::gone;
-        tell();
+        if (std::exchange(self.open, false)) tell();
     }
 
     void on(const event::Outcomes& met) {
@@ -129,18 +133,12 @@
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
 
 struct Weigher : Part {
-    struct Member {
-        Standing seen;
-        std::vector<double> weight, share, owing;  // by pool; owing: the share that must have brought tries
-        double rate = 0, answer = 0;  // as judged at the last step; RPCs a second, seconds
-    };
-    struct Pool {
-        Binding binding;
-        Method like;  // its first method: all of a pool are open to the same servers
-        double rate = 1;
-    };
+    // By pool; owing: the share that must have brought tries.
+    struct Member { Standing seen; Row weight, share, owing; };
+    // Like its first method: all of a pool are open to the same servers.
+    struct Pool { Binding binding; Method like; double rate = 0; };
     using Members = std::vector<Member*>;
-    using Shares = std::vector<std::vector<double>>;  // by pool, by open server
+    using Shares = std::vector<Row>;  // by pool, of the open servers
 
     Desk& desk;
     Part &channel, &gate;
@@ -151,18 +149,17 @@
     double load_per_rate = 1;  // tries heard of for each RPC that the pools' rates promise
 
     Weigher(Desk& desk, Part& channel, Part& gate) : desk(desk), channel(channel), gate(gate) {
-        if (desk.terms.slices > 0) return;
-        for (int m = 0; m < std::ssize(desk.terms.methods); ++m) {
+        for (int m = 0; m < std::ssize(desk.terms.methods) && desk.terms.slices == 0; ++m) {
             const Method& method = desk.terms.methods[m];
             for (int zone = 0; zone < (method.own_zone_only ? desk.terms.zones : 1); ++zone) {
-                const std::optional home{method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt};
+                const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
                 auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool& p) {
                     return p.like.only_kinds == method.only_kinds && p.like.only_zones == method.only_zones &&
                            p.binding.zone == home;
                 });
                 if (pool == pools.end()) {
                     const TableId table{static_cast<int>(pools.size()) + 1};
-                    pool = pools.insert(pools.end(), {{table, {}, home}, method, 0});
+                    pool = pools.insert(pools.end(), {{table, {}, home}, method});
                 }
                 pool->binding.methods.push_back(MethodId{m});
                 pool->rate += 1;
@@ -174,11 +171,11 @@
     void on(const Standing& note) {
         auto [at, added] = members.try_emplace(note.entry.server);
         Member& member = at->second;
-        for (auto* by_pool : {&member.weight, &member.share, &member.owing}) by_pool->resize(pools.size());
-        const bool entering = note.open && !member.seen.open;
+        if (added) member.weight = member.share = member.owing = Row(pools.size());
+        // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
+        if (note.open && !member.seen.open) member.weight = std::log(note.entry.size);
         changed |= added || note.open != member.seen.open || note.beats < member.seen.beats;
         member.seen = note;
-        for (std::size_t k = 0; k < pools.size() && entering; ++k) member.weight[k] = entry_weight(k, note);
         if (changed) inbox.push_back(Pulse{});
     }
 
@@ -196,33 +193,36 @@
 
     void on(const Step&) {
         const Members open = open_members();
-        if (!weigh_evidence(open)) return publish(false);
+        Row rate, answer;
+        if (!weigh_evidence(open, rate, answer)) return publish(false);
+        const auto ahead = [&](const Shares& then, TailTerm tail) {
+            Row at = rate;
+            for (std::size_t k = 0; k < pools.size(); ++k) {
+                const Row now = of(open, [k](const Member& m) { return m.share[k]; });
+                at += load_per_rate * pools[k].rate * (then[k] - now);
+            }
+            at[at < 0.0] = 0;
+            return look_ahead(at, rate + 1.0 / answer, tail);
+        };
         const Shares stay = shares(open, 0, {});
         // Past twice the limit the tail is all of the cost anyway, and a larger factor says nothing more.
-        const double lateness = std::min(look_ahead(loads(open, stay), {}).p95 / limit, 2.0);
+        const double lateness = std::min(ahead(stay, {}).p95 / limit, 2.0);
         const TailTerm tail{5 * std::exp(10 * (lateness - 1)), limit};
-        const Prospect here = look_ahead(loads(open, stay), tail);
-
-        Shares downhill = stay;  // how far a weight goes in a whole step
+        const Prospect here = ahead(stay, tail);
+        Shares downhill = stay;  // how far the weights go in a whole step
         const double scale = kStepScale * std::ssize(open) / std::max(here.cost, 1e-9) * load_per_rate;
         for (std::size_t k = 0; k < pools.size(); ++k) {
-            const double mean = std::inner_product(stay[k].begin(), stay[k].end(), here.slope.begin(), 0.0);
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                downhill[k][i] = scale * pools[k].rate * stay[k][i] * (here.slope[i] - mean);
-            }
+            downhill[k] *= scale * pools[k].rate * (here.slope - (stay[k] * here.slope).sum());
         }
         const auto moved = [&](double c) {
             const Shares share = shares(open, c, downhill);
             double sum = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) {
-                for (std::size_t i = 0; i < open.size(); ++i) sum += std::pow(share[k][i] - stay[k][i], 2);
-            }
+            for (std::size_t k = 0; k < pools.size(); ++k) sum += std::pow(share[k] - stay[k], 2.0).sum();
             return std::sqrt(sum);
         };
-        const auto cost = [&](double c) {
-            return look_ahead(loads(open, shares(open, c, downhill)), tail).cost;
-        };
-        double c = moved(1) <= kMostMove ? 1 : crossing(0, 1, -kMostMove, [&](double x) { return -moved(x); });
+        const auto cost = [&](double c) { return ahead(shares(open, c, downhill), tail).cost; };
+        const auto still = [&](double c) { return -moved(c); };
+        double c = moved(1) <= kMostMove ? 1 : crossing(0, 1, -kMostMove, still);
         // A step within the bound can still overshoot what the model says is best along it: halved until not.
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
@@ -239,15 +239,15 @@
 
    private:
     static constexpr double kMostMove = 0.15;  // the design's
-    // The design's 0.5, on the gradient of the cost's logarithm a server: a pool's size and traffic do not set
-    // how fast it learns.
+    // The design's 0.5, on the gradient of the cost's logarithm a server: a pool's size and traffic do not
+    // set how fast it learns.
     static constexpr double kStepScale = 0.5;
     // The design starts at a tenth; one slow server of twenty costs less than that and is worth a step.
     static constexpr double kLeastGain = 0.01;
-    // No learnt share is under this part of the largest: what is never tried can't be seen to have recovered.
+    // No learnt share is under this part of the largest: what is never tried can't show that it recovered.
     static constexpr double kFloor = 0.02;
-    // The design counts an unheard server as the pool's mean; here so many RPCs of evidence weigh as much as the
-    // mean answer of its kind: answers vary about threefold more than servers of a kind do.
+    // The design counts an unheard server as the pool's mean; here so many RPCs of evidence weigh as much as
+    // the mean answer of its kind: answers vary about threefold more than servers of a kind do.
     static constexpr double kDoubt = 10;
 
     Members open_members() {
@@ -256,6 +256,13 @@
         return open;
     }
 
+    template <class Figure>
+    static Row of(const Members& members, Figure figure) {
+        Row row(members.size());
+        for (std::size_t i = 0; i < members.size(); ++i) row[i] = figure(*members[i]);
+        return row;
+    }
+
     static bool serves(const Pool& pool, const Standing& server) {
         const auto among = [](const auto& only, const auto& id) {
             return only.empty() || std::find(only.begin(), only.end(), id) != only.end();
@@ -265,74 +272,47 @@
                (!pool.binding.zone || *pool.binding.zone == server.entry.zone);
     }
 
-    // A server enters at its listed weight beside what the others have learnt.
-    double entry_weight(std::size_t k, const Standing& entering) const {
-        double sum = 0, count = 0;
-        for (const auto& [id, member] : members) {
-            if (id == entering.entry.server || !serves(pools[k], member.seen)) continue;
-            sum += member.weight[k] - std::log(member.seen.entry.size);
-            count += 1;
-        }
-        return std::log(entering.entry.size) + (count > 0 ? sum / count : 0);
-    }
-
     // Mechanism 1. Guards against a server that fails fast (looks idle), hangs (has no answer time) or can't
     // be reached: a failed try counts as an answer at twice the tail's limit, and tries that a server's share
-    // owes but that never ended count as failed. It should answer whatever makes answers fail or stay away. It
-    // could harm where few RPCs come, as chance then looks like silence: hence three deviations.
-    bool weigh_evidence(const Members& open) {
-        std::vector<double> means;
-        double tries = 0, window = 0, rate = 0, counted = 0;
-        for (const Member* m : open) {
-            tries += m->seen.tries;
-            window = std::max(window, m->seen.window);
-            const double ok = m->seen.tries - m->seen.bad;
-            if (ok > 0) means.push_back(m->seen.answer_seconds / ok);
-        }
-        if (means.empty()) return false;
+    // owes but that never ended count as failed. It should answer whatever makes answers fail or stay away.
+    // It could harm where few RPCs come, as chance then looks like silence: hence three deviations.
+    bool weigh_evidence(const Members& open, Row& rate, Row& answer) {
+        const Row tries = of(open, [](const Member& m) { return m.seen.tries; });
+        const Row bad = of(open, [](const Member& m) { return m.seen.bad; });
+        const Row answers = of(open, [](const Member& m) { return m.seen.answer_seconds; });
+        const Row ok = tries - bad;
+        if (open.empty() || pools.empty() || ok.sum() <= 0) return false;
         if (limit == 0) {
-            std::nth_element(means.begin(), means.begin() + means.size() / 2, means.end());
             Span soonest = Span::max();
-            for (const Method& method : desk.terms.methods) soonest = std::min(soonest, method.soft_deadline);
-            limit = std::max(2 * means[means.size() / 2], seconds(soonest));
+            for (const Method& m : desk.terms.methods) soonest = std::min(soonest, m.soft_deadline);
+            limit = std::max(seconds(soonest), 2 * middle(answers / (ok + 1e-9), ok));
         }
-        for (const Pool& pool : pools) rate += pool.rate;
-        const double mean = std::accumulate(means.begin(), means.end(), 0.0) / std::ssize(means);
-        std::map<KindId, std::pair<double, double>> kinds;  // seconds of ok answers, and how many
-        for (Member* m : open) {
-            double expected = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) {
-                expected += pools[k].rate / rate * m->owing[k] * tries;
-            }
-            const bool silent = m->seen.tries < expected - 3 * std::sqrt(expected);
-            const double owed = silent ? expected - m->seen.tries : 0;
-            m->rate = m->seen.tries + owed;
-            m->answer = m->seen.answer_seconds + (m->seen.bad + owed) * 2 * limit;
-            auto& [ok_seconds, ok] = kinds[m->seen.entry.kind];
-            ok_seconds += m->seen.answer_seconds + kDoubt * mean;
-            ok += m->seen.tries - m->seen.bad + kDoubt;
-            counted += m->rate;
-        }
-        std::vector<std::pair<double, double>> by_answer;
-        for (Member* m : open) {
-            const auto& [ok_seconds, ok] = kinds[m->seen.entry.kind];
-            m->answer = (m->answer + kDoubt * ok_seconds / ok) / (m->rate + kDoubt);
-            m->rate /= window;
-            by_answer.emplace_back(m->answer, m->rate);
+        double promised = 0;
+        Row expected(open.size());
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            promised += pools[k].rate;
+            expected += tries.sum() * pools[k].rate * of(open, [k](const Member& m) { return m.owing[k]; });
         }
-        load_per_rate = counted / window / rate;
-        std::sort(by_answer.begin(), by_answer.end());
-        double rest = counted / window / 2;  // the median by load
-        for (const auto& [answer, load] : by_answer) {
-            if ((rest -= load) > 0) continue;
-            gate.inbox.push_back(Strain{answer, limit});
-            break;
+        expected /= promised;
+        Row owed = expected - tries;
+        owed[owed <= 3.0 * std::sqrt(expected)] = 0;
+        rate = tries + owed;
+        answer = answers + (bad + owed) * 2.0 * limit;
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            const KindId kind = open[i]->seen.entry.kind;
+            const Row alike = of(open, [kind](const Member& m) { return m.seen.entry.kind == kind; });
+            const double usual = (answers * alike).sum() + kDoubt * answers.sum() / ok.sum();
+            answer[i] += kDoubt * usual / ((ok * alike).sum() + kDoubt);
         }
+        answer /= rate + kDoubt;
+        rate /= of(open, [](const Member& m) { return m.seen.window; }).max();
+        load_per_rate = rate.sum() / promised;
+        gate.inbox.push_back(Strain{middle(answer, rate), limit});
         return true;
     }
 
-    // Mechanism 2. The design starts a fresh server at a quarter of its listed share; here at half of the part
-    // of its capacity that it is told to start with, as further tries can double what a busy fleet sends. It
+    // Mechanism 2. The design starts a fresh server at a quarter of its listed share; here at half of the
+    // part of its capacity that it starts with, as further tries can double what a busy fleet sends. It
     // doubles every other step, for as long as the server may be cold.
     double ceiling(const Standing& server) const {
         if (!server.fresh) return 1e300;
@@ -342,52 +322,31 @@
     // Softmax over the servers that a pool is open to, after a part of a step; no fresh one above its ceiling
     // while others have room.
     Shares shares(const Members& open, double c, const Shares& downhill) const {
-        Shares all(pools.size(), std::vector<double>(open.size()));
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            std::vector<double>& share = all[k];
-            double top = -1e300, sum = 0, size = 0, held = 0;
-            const auto weight = [&](std::size_t i) {
-                return open[i]->weight[k] - (downhill.empty() ? 0 : c * downhill[k][i]);
-            };
+        Shares all(pools.size(), Row(open.size()));
+        for (std::size_t k = 0; k < pools.size() && !open.empty(); ++k) {
+            const Row in = of(open, [&](const Member& m) { return serves(pools[k], m.seen) ? 1 : 0; });
+            if (in.sum() == 0) continue;
+            Row weight = of(open, [k](const Member& m) { return m.weight[k]; });
+            if (!downhill.empty()) weight -= c * downhill[k];
+            const Row size = in * of(open, [](const Member& m) { return m.seen.entry.size; });
+            Row share = in * std::exp(weight - weight.max());
+            share /= share.sum();
             for (std::size_t i = 0; i < open.size(); ++i) {
-                if (!serves(pools[k], open[i]->seen)) continue;
-                top = std::max(top, weight(i));
-                size += open[i]->seen.entry.size;
-            }
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                if (serves(pools[k], open[i]->seen)) sum += share[i] = std::exp(weight(i) - top);
-            }
-            double free = 0;
-            for (std::size_t i = 0; i < open.size() && sum > 0; ++i) {
-                const double most = ceiling(open[i]->seen) * open[i]->seen.entry.size / size;
-                share[i] = std::min(share[i] / sum, most);
-                (open[i]->seen.fresh ? held : free) += share[i];
-            }
-            for (std::size_t i = 0; i < open.size() && sum > 0; ++i) {
-                if (free <= 0) share[i] /= held;
-                else if (!open[i]->seen.fresh) share[i] *= (1 - held) / free;
+                share[i] = std::min(share[i], ceiling(open[i]->seen) * size[i] / size.sum());
             }
+            const Row eased = share * of(open, [](const Member& m) { return m.seen.fresh ? 1 : 0; });
+            const Row free = share - eased;
+            if (free.sum() > 0) share = eased + free * (1 - eased.sum()) / free.sum();
+            all[k] = share / share.sum();
         }
         return all;
     }
 
-    std::vector<ServerLoad> loads(const Members& open, const Shares& then) const {
-        std::vector<ServerLoad> loads;
-        for (std::size_t i = 0; i < open.size(); ++i) {
-            double more = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) {
-                more += pools[k].rate * (then[k][i] - open[i]->share[k]) * load_per_rate;
-            }
-            loads.push_back({std::max(open[i]->rate + more, 0.0), open[i]->rate + 1 / open[i]->answer});
-        }
-        return loads;
-    }
-
     void publish(bool urgent) {
         const Members open = open_members();
         const Shares share = shares(open, 0, {});
+        for (auto& [id, member] : members) member.share = 0;
         for (std::size_t k = 0; k < pools.size(); ++k) {
-            for (auto& [id, member] : members) member.share[k] = 0;
             for (std::size_t i = 0; i < open.size(); ++i) {
                 open[i]->share[k] = share[k][i];
                 // What was ordered a step ago shows in the reports only now; a growing share owes less yet.
@@ -405,27 +364,27 @@
 // ---- Levels ----------------------------------------------------------------------------------------------
 
 // Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause: when the median server
-// answers later than a part of the soft deadline, what is let in falls well under what the fleet can bear, so that
-// queues drain, and once answers are early again it goes back to a little less than what was too much. It should answer overload, shared slowness and retry storms. It could harm where
-// RPCs are late for a reason that load does not change; the floor keeps part of them coming.
+// answers later than a part of the soft deadline, what is let in falls well under what the fleet can bear, so
+// that queues drain, and once answers are early again it goes back to a little less than what was too much.
+// It should answer overload, shared slowness and retry storms. It could harm where RPCs are late for a reason
+// that load does not change; the floor keeps part of them coming.
 struct Gate : Part {
     Desk& desk;
     Part &weigher, &channel;
-    std::vector<double> came = std::vector<double>(desk.terms.methods.size());  // RPCs, older ones fading
-    std::vector<double> level = std::vector<double>(came.size(), 1.0);
+    Row came = Row(desk.terms.methods.size());  // RPCs, older ones fading
+    Row level = Row(1.0, desk.terms.methods.size());
     double window = 0, let_in = 1;
     double bearable = 1;  // what the fleet is held to bear once its queues are short again
-    int settled = 0;  // steps since the last cut
+    int settled = 0;      // steps since the last cut
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
 
     void on(const Beat&) {
         window += seconds(kStepEvery);
-        Demand demand;
-        for (std::size_t m = 0; m < came.size(); ++m) demand.rates.push_back(came[m] / window * level[m]);
-        weigher.inbox.push_back(demand);
+        weigher.inbox.push_back(Demand{came / window * level});
+        weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
         window *= kMemory;
-        for (double& count : came) count *= kMemory;
+        came *= kMemory;
     }
 
     void on(const Strain& note) {
@@ -448,35 +407,26 @@
 
     // Least criticality first, or all methods alike: whichever keeps more of the goal.
     void share_out() {
-        const auto& methods = desk.terms.methods;
-        std::vector<std::size_t> order(methods.size());
-        std::iota(order.begin(), order.end(), 0u);
-        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-            return methods[a].criticality < methods[b].criticality;
-        });
-        const std::vector<double> alike(methods.size(), let_in);
-        std::vector<double> ranked(methods.size(), 1.0);
-        double spare = (1 - let_in) * std::accumulate(came.begin(), came.end(), 0.0);
-        for (const std::size_t m : order) {
+        const Terms& terms = desk.terms;
+        Row worth(came.size()), ranked(1.0, came.size());
+        std::multimap<double, std::size_t> order;
+        for (std::size_t m = 0; m < came.size(); ++m) {
+            worth[m] = terms.methods[m].criticality * came[m] / std::max(came.sum(), 1e-9);
+            order.emplace(terms.methods[m].criticality, m);
+        }
+        double spare = (1 - let_in) * came.sum();
+        for (const auto& [criticality, m] : order) {
             const double cut = std::min(spare, came[m]);
             if (came[m] > 0) ranked[m] = 1 - cut / came[m];
             spare -= cut;
         }
-        const auto goal = [&](const std::vector<double>& levels) {
-            double kept = 0, asked = 1e-9, worst = 1;
-            for (std::size_t m = 0; m < methods.size(); ++m) {
-                kept += methods[m].criticality * came[m] * levels[m];
-                asked += methods[m].criticality * came[m];
-                worst = std::min(worst, levels[m]);
-            }
-            return desk.terms.whole_weight * kept / asked + desk.terms.worst_method_weight * worst;
+        const auto goal = [&](const Row& levels) {
+            return terms.whole_weight * (worth * levels).sum() / std::max(worth.sum(), 1e-9) +
+                   terms.worst_method_weight * levels.min();
         };
+        const Row alike(let_in, came.size());
         level = goal(ranked) > goal(alike) ? ranked : alike;
-        Levels levels{level};
-        for (std::size_t m = 0; m < level.size() && desk.terms.levels == LevelKind::rate; ++m) {
-            levels.amounts[m] *= level[m] < 1 ? came[m] / std::max(window, 0.1) / desk.terms.proxies : 1e6;
-        }
-        channel.inbox.push_back(levels);
+        if (terms.levels == LevelKind::share) channel.inbox.push_back(Levels{level});
     }
 };
 
@@ -485,27 +435,19 @@
 // Mechanism 5. Guards against tables that outlive what they say: drains, fresh servers and joining proxies go
 // out at once and ahead of the budget, up to the rule's limits; all else waits its turn, merged.
 struct Channel : Part {
-    // Mechanism 4. A further try only after proof that the first never ran: no effect can come twice, whatever
-    // the method, and a busy fleet is not sent the same work twice.
+    // Mechanism 4. A further try only after proof that the first never ran: no effect can come twice,
+    // whatever the method, and a busy fleet is not sent its work twice.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
-    struct Line {
-        double wanted = 0, sent = 0;
-        bool urgent = false;
-    };
-    struct Proxy {
-        ZoneId zone;
-        bool bound = false;
-        std::deque<Instant> messages{};
-    };
+    struct Line { double wanted = 0, sent = 0; bool urgent = false; };
+    struct Proxy { ZoneId zone; bool bound = false; std::vector<Instant> messages{}; };
 
     Desk& desk;
     std::vector<Binding> bindings{};
     std::map<TableId, std::map<ServerId, Line>> tables{};
     std::map<ProxyId, Proxy> proxies{};
-    std::vector<double> wanted_levels = std::vector<double>(desk.terms.methods.size(), 1.0);
+    Row wanted_levels = Row(1.0, desk.terms.methods.size());
     // Where proxies do not try so by themselves, the first level tells them.
-    std::vector<double> sent_levels =
-        std::vector<double>(wanted_levels.size(), desk.terms.further_tries == kFurther ? 1.0 : 0.0);
+    Row sent_levels = Row(desk.terms.further_tries == kFurther ? 1.0 : 0.0, desk.terms.methods.size());
     double waiting = 0;    // lines, as if the channel ran at a part of its pace
     double allowance = 0;  // lines that ordinary changes may use
     Instant counted{};
@@ -545,24 +487,22 @@
     bool may_write(bool urgent) {
         if (desk.terms.messages_most <= 0) return true;
         const int most = urgent ? desk.terms.messages_most - 1 : desk.terms.messages_most / 2;
-        return std::all_of(proxies.begin(), proxies.end(), [&](auto& entry) {
-            std::deque<Instant>& times = entry.second.messages;
-            while (!times.empty() && desk.now - times.front() >= desk.terms.messages_span) times.pop_front();
-            return std::ssize(times) < most;
-        });
+        for (auto& [id, proxy] : proxies) {
+            const Instant since = desk.now - desk.terms.messages_span;
+            std::erase_if(proxy.messages, [since](Instant sent) { return sent <= since; });
+            if (std::ssize(proxy.messages) >= most) return false;
+        }
+        return true;
     }
 
     void send_changes() {
         std::vector<std::tuple<int, double, TableId, ServerId, Line*>> changes;  // rank, largest first
         for (auto& [table, lines] : tables) {
-            const bool bare = std::none_of(lines.begin(), lines.end(), [](const auto& entry) {
-                return entry.second.sent > 0 && entry.second.wanted > 0;
-            });
             for (auto& [server, line] : lines) {
                 const double size = std::abs(line.wanted - line.sent);
                 const bool both = line.wanted > 0 && line.sent > 0;
                 if (line.wanted == line.sent || (both && size <= kWorthSending * line.sent)) continue;
-                const bool urgent = line.wanted == 0 || (line.urgent && line.wanted < line.sent) || bare;
+                const bool urgent = !both || (line.urgent && line.wanted < line.sent);
                 changes.emplace_back(urgent ? 0 : 1, -size, table, server, &line);
             }
         }
@@ -616,15 +556,12 @@
 // that one drains or is gone. A single owner's successor is named only when no write can still be with the
 // former one: after a message's longest way, the proxies' lease and a write's life.
 struct SliceKeeper : Part {
-    struct Slice {
-        std::set<ServerId> owners;
-        Instant free_from{};  // no successor before
-    };
+    struct Slice { std::set<ServerId> owners; Instant free_from{}; };  // no successor before that
 
     Desk& desk;
     Part& channel;
     std::map<TableId, Slice> slices{};
-    std::map<ServerId, Standing> servers{};
+    std::map<ServerId, bool> open{};
 
     void on(const event::SliceGiven& note) {
         channel.inbox.push_back(note);
@@ -639,43 +576,32 @@
         channel.inbox.push_back(note);
     }
     void on(const Standing& note) {
-        servers[note.entry.server] = note;
+        open[note.entry.server] = note.open;
         if (!slices.empty()) inbox.push_back(Pulse{});
     }
     void on(const Pulse&) {
+        std::vector<ServerId> choice;
+        for (const auto& [id, is_open] : open) if (is_open) choice.push_back(id);
         for (auto& [id, slice] : slices) {
-            std::erase_if(slice.owners, [&, id = id, &slice = slice](const ServerId& owner) {
-                if (servers[owner].open) return false;
+            for (const ServerId& owner : std::set(slice.owners)) {
+                if (open[owner]) continue;
                 channel.inbox.push_back(Wish{id, owner, 0, true});
+                slice.owners.erase(owner);
                 slice.free_from = std::max(slice.free_from, free_from());
-                return true;
-            });
-            if (!slice.owners.empty()) continue;
+            }
+            if (!slice.owners.empty() || choice.empty()) continue;
             if (desk.now < slice.free_from) {
-                desk.agenda.emplace(slice.free_from, std::pair<Part*, Note>{this, Pulse{}});
-            } else if (const ServerId* next = least_laden()) {
-                slice.owners.insert(*next);
-                channel.inbox.push_back(Wish{id, *next, 1, true});
+                desk.agenda.emplace(slice.free_from, std::pair{this, Pulse{}});
+            } else {
+                slice.owners.insert(choice[desk.chance() % choice.size()]);
+                channel.inbox.push_back(Wish{id, *slice.owners.begin(), 1, true});
             }
         }
     }
-
-   private:
     Instant free_from() const {
         const Terms& t = desk.terms;
         return desk.now + (t.single_owner ? 2 * t.message_longest + t.owner_lease + t.write_life : Span{});
     }
-    const ServerId* least_laden() const {
-        const ServerId* least = nullptr;
-        std::pair<bool, int> lightest;
-        for (const auto& [id, server] : servers) {
-            if (!server.open) continue;
-            std::pair<bool, int> laden{server.fresh, 0};
-            for (const auto& [slice, held] : slices) laden.second += held.owners.contains(id) ? 1 : 0;
-            if (!least || laden < lightest) std::tie(least, lightest) = std::pair{&id, laden};
-        }
-        return least;
-    }
 };
 
 }  // namespace
@@ -684,38 +610,23 @@
 
 // Queues and tail as M/M/1 has them. The design clamps u at 0.95; past it the queue goes on along its tangent
 // and the spare capacity fades towards none, as a flat prediction has no slope just where it matters.
-Prospect look_ahead(std::span<const ServerLoad> servers, TailTerm tail) {
+Prospect look_ahead(const Row& rate, const Row& capacity, TailTerm tail) {
     constexpr double kClamp = 0.95;
-    Prospect ahead;
-    double total = 0;
-    std::vector<double> spare, fading;  // spare capacity, and how fast it falls as the rate grows
-    for (const auto& [rate, capacity] : servers) {
-        const double u = rate / capacity;
-        const double v = std::min(u, kClamp);
-        const double slope = 1 / ((1 - v) * (1 - v));
-        ahead.cost += v / (1 - v) + (u - v) * slope;
-        ahead.slope.push_back(slope / capacity);
-        fading.push_back(std::exp(-(u - v) / (1 - kClamp)));
-        spare.push_back(capacity * (1 - v) * fading.back());
-        total += rate;
-    }
+    const Row u = rate / capacity;
+    Row v = u;
+    v[v > kClamp] = kClamp;
+    const Row steep = 1.0 / ((1.0 - v) * (1.0 - v));
+    const Row fading = std::exp((v - u) / (1 - kClamp));
+    const Row spare = capacity * (1.0 - v) * fading;
+    Prospect ahead{(v / (1.0 - v) + (u - v) * steep).sum(), 0, steep / capacity};
+    const double total = rate.sum();
     if (total <= 0) return ahead;
-    const auto unanswered = [&](double t, const std::vector<double>& counted_as) {
-        double sum = 0;
-        for (std::size_t i = 0; i < servers.size(); ++i) {
-            sum += counted_as[i] * servers[i].rate / total * std::exp(-spare[i] * t);
-        }
-        return sum;
-    };
-    const std::vector<double> once(servers.size(), 1.0);
-    const double most = 3.0 / *std::min_element(spare.begin(), spare.end());  // e^-3 is under 0.05
-    const double t = ahead.p95 = crossing(0, most, 0.05, [&](double t) { return unanswered(t, once); });
+    const auto unanswered = [&](double t) { return (rate * std::exp(-spare * t)).sum() / total; };
+    const double t = ahead.p95 = crossing(0, 3 / spare.min(), 0.05, unanswered);  // e^-3 is under 0.05
+    const Row rest = std::exp(-spare * t);
+    const Row raise = (rest - 0.05 + rate * fading * t * rest) / (rate * spare * rest).sum();
     ahead.cost += tail.factor * t / tail.limit;
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        const double rest = std::exp(-spare[i] * t);
-        const double raise = (rest - 0.05 + servers[i].rate * fading[i] * t * rest) / total;
-        ahead.slope[i] += tail.factor / tail.limit * raise / unanswered(t, spare);
-    }
+    ahead.slope += tail.factor / tail.limit * raise;
     return ahead;
 }
 
@@ -732,7 +643,7 @@
         desk_.now = now;
         if (!std::exchange(started_, true)) {
             desk_.orders.push_back(order::StartTimer{kTimer, kTick});
-            if (desk_.terms.must_subscribe) desk_.orders.push_back(order::Subscribe{true});
+            if (desk_.terms.must_subscribe) channel_.inbox.push_back(Resubscribe{});
         }
         for (Event& event : std::exchange(heard_, {})) std::visit([this](auto& e) { apply(e); }, event);
         while (!desk_.agenda.empty() && desk_.agenda.begin()->first <= now) {
@@ -740,7 +651,7 @@
             part->inbox.push_back(std::move(note));
         }
         run();
-        channel_.inbox.push_back(Pulse{});
+        channel_.inbox.push_back(Pulse{});  // when all else is said
         run();
         return std::exchange(desk_.orders, {});
     }
@@ -776,7 +687,6 @@
         next_step_ = desk_.now + kStepEvery;
         gate_.inbox.push_back(Beat{});
         for (auto& [id, actor] : servers_) actor.inbox.push_back(Beat{});
-        desk_.agenda.emplace(desk_.now + kTick, std::pair{&weigher_, Step{}});
     }
     void apply(event::Outcomes& met) {
         const auto at = servers_.find(met.server);
@@ -794,28 +704,22 @@
     template <class NotActedOn>
     void apply(NotActedOn&) {}
 
-    static bool counts(double all, double part) {
-        return std::isfinite(all) && std::isfinite(part) && all > 0 && part >= 0;
-    }
+    static bool counts(double all, double part) { return std::isfinite(all + part) && all > 0 && part >= 0; }
 
-    // The one loop: each note goes to the part in whose inbox it lies, until all are empty.
+    // The one loop: every inbox is emptied until none holds a note. Servers speak first.
     void run() {
         const auto empty = [](auto& part) {
-            const bool any = !part.inbox.empty();
-            while (!part.inbox.empty()) {
-                const Note note = std::move(part.inbox.front());
-                part.inbox.pop_front();
-                std::visit([&part](auto& body) {
-                    if constexpr (requires { part.on(body); }) part.on(body);
-                }, note);
+            for (; !part.inbox.empty(); part.inbox.pop_front()) {
+                std::visit([&part](const auto& note) {
+                    if constexpr (requires { part.on(note); }) part.on(note);
+                }, part.inbox.front());
             }
-            return any;
         };
-        for (bool busy = true; busy;) {
-            busy = false;
-            for (auto& [id, actor] : servers_) busy |= empty(actor);
-            busy |= empty(keeper_) | empty(gate_) | empty(weigher_) | empty(channel_);
-        }
+        const auto busy = [](const auto&... parts) { return (!parts.inbox.empty() || ...); };
+        do {
+            for (auto& [id, actor] : servers_) empty(actor);
+            empty(keeper_), empty(gate_), empty(weigher_), empty(channel_);
+        } while (busy(keeper_, gate_, weigher_, channel_));
     }
 
     Desk desk_;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -282,16 +282,16 @@
 }
 
 TEST_CASE("the slope is that of the predicted cost") {
-    // The last two are past the clamp and close to it.
-    const std::vector<ServerLoad> at{{4, 10}, {7, 9}, {1, 8}, {2, 3}, {9.9, 10}, {9.3, 10}, {11, 10}};
+    // The last three are close to the clamp and past it.
+    const Row rate{4, 7, 1, 2, 9.9, 9.3, 11}, capacity{10, 9, 8, 3, 10, 10, 10};
     const TailTerm tail{40, 1.5};
-    const Prospect here = look_ahead(at, tail);
-    for (std::size_t i = 0; i < at.size(); ++i) {
+    const Prospect here = look_ahead(rate, capacity, tail);
+    for (std::size_t i = 0; i < rate.size(); ++i) {
         const double h = 1e-5;
-        auto up = at, down = at;
-        up[i].rate += h;
-        down[i].rate -= h;
-        const double slope = (look_ahead(up, tail).cost - look_ahead(down, tail).cost) / (2 * h);
-        CHECK(here.slope[i] == Approx(slope).epsilon(1e-3));
+        Row up = rate, down = rate;
+        up[i] += h;
+        down[i] -= h;
+        const double rise = look_ahead(up, capacity, tail).cost - look_ahead(down, capacity, tail).cost;
+        CHECK(here.slope[i] == Approx(rise / (2 * h)).epsilon(1e-3));
     }
 }
