--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -144,6 +144,7 @@
     Part &channel, &gate;
     std::vector<Pool> pools;
     std::map<ServerId, Member> members;
+    std::set<ProxyId> joined;
     bool changed = false;
     double limit = 0;          // seconds, for the tail; 0 until an answer was heard
     double load_per_rate = 1;  // tries heard of for each RPC that the pools' rates promise
@@ -183,6 +184,9 @@
         if (std::exchange(changed, false)) publish(true);
     }
 
+    void on(const event::ProxyJoined& note) { joined.insert(note.proxy); }
+    void on(const event::ProxyLeft& note) { joined.erase(note.proxy); }
+
     void on(const Demand& note) {
         for (Pool& pool : pools) {
             double rate = 0;
@@ -196,13 +200,15 @@
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish(false);
         const auto ahead = [&](const Shares& then, TailTerm tail) {
-            Row at = rate;
+            // Proxies that are not ours are taken to load the servers as ours do.
+            const double others = std::max(0.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()) - 1);
+            Row at = rate * (1 + others);
             for (std::size_t k = 0; k < pools.size(); ++k) {
                 const Row now = of(open, [k](const Member& m) { return m.share[k]; });
                 at += load_per_rate * pools[k].rate * (then[k] - now);
             }
             at[at < 0.0] = 0;
-            return look_ahead(at, rate + 1.0 / answer, tail);
+            return look_ahead(at, rate * (1 + others) + 1.0 / answer, tail);
         };
         const Shares stay = shares(open, 0, {});
         // Past twice the limit the tail is all of the cost anyway, and a larger factor says nothing more.
@@ -697,8 +703,8 @@
         const bool sound = came.method.value >= 0 && came.method.value < std::ssize(desk_.terms.methods);
         if (sound && counts(came.count, came.unanswered)) gate_.inbox.push_back(came);
     }
-    void apply(event::ProxyJoined& joined) { channel_.inbox.push_back(joined); }
-    void apply(event::ProxyLeft& left) { channel_.inbox.push_back(left); }
+    void apply(event::ProxyJoined& joined) { for (Part* p : both_) p->inbox.push_back(joined); }
+    void apply(event::ProxyLeft& left) { for (Part* p : both_) p->inbox.push_back(left); }
     void apply(event::SliceGiven& given) { keeper_.inbox.push_back(given); }
     void apply(event::SliceOwner& owner) { keeper_.inbox.push_back(owner); }
     template <class NotActedOn>
@@ -730,6 +736,7 @@
     Gate gate_{{}, desk_, weigher_, channel_};
     Weigher weigher_{desk_, channel_, gate_};
     SliceKeeper keeper_{{}, desk_, channel_};
+    std::vector<Part*> both_{&channel_, &weigher_};  // who must know the proxies
     std::map<ServerId, Server> servers_;
 };
 
