Levels wait for what was let in before a cut

A fixed wait of one step cut twice for one jam where reports come each 2 s and answers take seconds. The wait is now a message's way, two report periods and the median answer.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -133,10 +133,9 @@
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
 
 struct Weigher : Part {
-    // By pool; owing: the share that must have brought tries.
+    // Figures by pool; owing: the share that must have brought tries.
     struct Member { Standing seen; Row weight, share, owing; };
-    // Like its first method: all of a pool are open to the same servers.
-    struct Pool { Binding binding; Method like; double rate = 0; };
+    struct Pool { Binding binding; Method like; double rate = 0; };  // all of a pool are open to the same
     using Members = std::vector<Member*>;
     using Shares = std::vector<Row>;  // by pool, of the open servers
 
@@ -381,7 +380,7 @@
     Row level = Row(1.0, desk.terms.methods.size());
     double window = 0, let_in = 1;
     double bearable = 1;  // what the fleet is held to bear once its queues are short again
-    int settled = 0;      // steps since the last cut
+    Instant next_cut{};
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
 
@@ -395,10 +394,12 @@
 
     void on(const Strain& note) {
         const double aim = kAim * note.soft_deadline;
-        if (note.answer > aim && ++settled > kSettle) {
+        if (note.answer > aim && desk.now >= next_cut) {
             if (let_in >= 0.95 * bearable) bearable *= kBackOff;
             let_in = std::max(bearable * std::max(aim / note.answer, 0.5), kLeastLetIn);
-            settled = 0;
+            // RPCs let in before a cut show in the reports until then.
+            const auto on_the_way = Span{static_cast<Span::rep>(note.answer / seconds(Span{1}))};
+            next_cut = desk.now + desk.terms.message_longest + 2 * desk.terms.report_every + on_the_way;
         } else if (note.answer < 0.75 * aim) {
             bearable = std::min(1.0, bearable * 1.06);
             let_in = std::min(bearable, let_in * 1.5);
@@ -409,7 +410,6 @@
    private:
     static constexpr double kAim = 0.7;  // a mean so late puts a quarter of exponential answers past it
     static constexpr double kLeastLetIn = 0.3, kBackOff = 0.85;
-    static constexpr int kSettle = 1;  // the next reports still show RPCs let in before the cut
 
     // Least criticality first, or all methods alike: whichever keeps more of the goal.
     void share_out() {
