--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -210,8 +210,8 @@
             return look_ahead(at, rate * (1 + others) + 1.0 / answer, tail);
         };
         const Shares stay = shares(open, 0, {});
-        // Past twice the limit the tail is all of the cost anyway, and a larger factor says nothing more.
-        const double lateness = std::min(ahead(stay, {}).p95 / limit, 2.0);
+        // Past the limit the factor stops: the model is stiff enough there that a larger one allows no step.
+        const double lateness = std::min(ahead(stay, {}).p95 / limit, 1.0);
         const TailTerm tail{5 * std::exp(10 * (lateness - 1)), limit};
         const Prospect here = ahead(stay, tail);
         Shares downhill = stay;  // how far the weights go in a whole step
