Fresh servers are eased by age and wait while the fleet is late; learnt shares keep within bounds

Now a fresh server follows the least that its age lets it do, and waits until warm while the median server is late. A closed server no longer makes tables be published at each step.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -46,8 +46,7 @@
 
 // The design starts at 5 s; half of it follows troubles and still sees several RPCs a server.
 constexpr Span kStepEvery = std::chrono::milliseconds(2500);
-// What was heard before a step counts half at the next: one alone sees too few RPCs to tell speeds apart.
-constexpr double kMemory = 0.5;
+constexpr double kMemory = 0.5;  // of what was heard before a step: one alone sees too few RPCs
 
 // ---- Notes: what the parts put into each other's inboxes -------------------------------------------------
 
@@ -66,7 +65,7 @@
 struct Wish { TableId table; ServerId server; double share; bool urgent; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
 struct Strain { double answer, soft_deadline; };    // of the median server, seconds
-struct Demand { Row rates; };                       // RPCs a second let in, by method
+struct Demand { Row rates; bool strained; };        // RPCs a second let in, by method
 struct Levels { Row amounts; };                     // by method
 
 using Note = std::variant<Listed, Unlisted, Beat, Step, Pulse, Resubscribe, Standing, Wish, Binding, Strain,
@@ -92,14 +91,11 @@
     Standing self{};
 
     void on(const Listed& note) {
-        const bool known = !self.entry.server.value.empty();
-        const bool restarted = note.entry.last_start && note.entry.last_start != self.entry.last_start;
-        const bool was_open = self.open;
-        if (restarted) self = Standing{};
+        if (note.entry.last_start && note.entry.last_start != self.entry.last_start) self = Standing{};
         self.entry = note.entry;
         if (!std::isfinite(self.entry.size) || self.entry.size <= 0) self.entry.size = 1;
         self.open = self.entry.phase == Phase::ready;
-        if (!known || restarted || was_open != self.open) tell();
+        tell();
     }
 
     void on(const Unlisted&) {
@@ -119,7 +115,7 @@
     void on(const Beat&) {
         ++self.beats;
         self.window += seconds(kStepEvery);
-        tell();
+        if (self.open) tell();
         for (double* sum : {&self.tries, &self.bad, &self.answer_seconds, &self.window}) *sum *= kMemory;
     }
 
@@ -144,7 +140,7 @@
     std::vector<Pool> pools;
     std::map<ServerId, Member> members;
     std::set<ProxyId> joined;
-    bool changed = false;
+    bool changed = false, strained = false;
     double limit = 0;          // seconds, for the tail; 0 until an answer was heard
     double load_per_rate = 1;  // tries heard of for each RPC that the pools' rates promise
 
@@ -179,14 +175,13 @@
         if (changed) inbox.push_back(Pulse{});
     }
 
-    void on(const Pulse&) {
-        if (std::exchange(changed, false)) publish(true);
-    }
+    void on(const Pulse&) { if (std::exchange(changed, false)) publish(true); }
 
     void on(const event::ProxyJoined& note) { joined.insert(note.proxy); }
     void on(const event::ProxyLeft& note) { joined.erase(note.proxy); }
 
     void on(const Demand& note) {
+        strained = note.strained;
         for (Pool& pool : pools) {
             double rate = 0;
             for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
@@ -200,17 +195,17 @@
         if (!weigh_evidence(open, rate, answer)) return publish(false);
         const auto ahead = [&](const Shares& then, TailTerm tail) {
             // Proxies that are not ours are taken to load the servers as ours do.
-            const double others = std::max(0.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()) - 1);
-            Row at = rate * (1 + others);
+            const double all = std::max(1.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()));
+            Row at = rate * all;
             for (std::size_t k = 0; k < pools.size(); ++k) {
                 const Row now = of(open, [k](const Member& m) { return m.share[k]; });
                 at += load_per_rate * pools[k].rate * (then[k] - now);
             }
             at[at < 0.0] = 0;
-            return look_ahead(at, rate * (1 + others) + 1.0 / answer, tail);
+            return look_ahead(at, rate * all + 1.0 / answer, tail);
         };
         const Shares stay = shares(open, 0, {});
-        // Past the limit the factor stops: the model is stiff enough there that a larger one allows no step.
+        // The factor stops at the limit: past it the model is so stiff that a larger one allows no step.
         const double lateness = std::min(ahead(stay, {}).p95 / limit, 1.0);
         const TailTerm tail{5 * std::exp(10 * (lateness - 1)), limit};
         const Prospect here = ahead(stay, tail);
@@ -219,25 +214,24 @@
         for (std::size_t k = 0; k < pools.size(); ++k) {
             downhill[k] *= scale * pools[k].rate * (here.slope - (stay[k] * here.slope).sum());
         }
-        const auto moved = [&](double c) {
+        const auto room = [&](double c) {
             const Shares share = shares(open, c, downhill);
             double sum = 0;
             for (std::size_t k = 0; k < pools.size(); ++k) sum += std::pow(share[k] - stay[k], 2.0).sum();
-            return std::sqrt(sum);
+            return kMostMove - std::sqrt(sum);
         };
         const auto cost = [&](double c) { return ahead(shares(open, c, downhill), tail).cost; };
-        const auto still = [&](double c) { return -moved(c); };
-        double c = moved(1) <= kMostMove ? 1 : crossing(0, 1, -kMostMove, still);
+        double c = room(1) >= 0 ? 1 : crossing(0, 1, 0, room);
         // A step within the bound can still overshoot what the model says is best along it: halved until not.
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
         for (std::size_t k = 0; k < pools.size() && here.cost - best > kLeastGain * here.cost; ++k) {
-            double top = -1e300;
+            const Row listed = sizes(k, open) / std::max(sizes(k, open).sum(), 1e-9);
+            const Row share = shares(open, c, downhill)[k];
             for (std::size_t i = 0; i < open.size(); ++i) {
-                open[i]->weight[k] -= c * downhill[k][i];
-                if (serves(pools[k], open[i]->seen)) top = std::max(top, open[i]->weight[k]);
+                const double kept = std::clamp(share[i], kLeast * listed[i], kMost * listed[i]);
+                open[i]->weight[k] += (share[i] > 0 ? std::log(kept / share[i]) : 0) - c * downhill[k][i];
             }
-            for (Member* m : open) m->weight[k] = std::max(m->weight[k], top + std::log(kFloor));
         }
         publish(false);
     }
@@ -249,8 +243,9 @@
     static constexpr double kStepScale = 0.5;
     // The design starts at a tenth; one slow server of twenty costs less than that and is worth a step.
     static constexpr double kLeastGain = 0.01;
-    // No learnt share is under this part of the largest: what is never tried can't show that it recovered.
-    static constexpr double kFloor = 0.02;
+    // Learnt shares keep within these parts of the listed ones: what is never tried can't show that it
+    // recovered, and steps on late or thin evidence would crowd one server after another.
+    static constexpr double kLeast = 0.05, kMost = 3;
     // The design counts an unheard server as the pool's mean; here so many RPCs of evidence weigh as much as
     // the mean answer of its kind: answers vary about threefold more than servers of a kind do.
     static constexpr double kDoubt = 10;
@@ -316,12 +311,19 @@
         return true;
     }
 
-    // Mechanism 2. The design starts a fresh server at a quarter of its listed share; here at half of the
-    // part of its capacity that it starts with, as further tries can double what a busy fleet sends. It
-    // doubles every other step, for as long as the server may be cold.
+    // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here its
+    // part follows the least that its age lets it do: the rule's multiple is left for further tries. While
+    // the median server is late it waits until it is warm, as proxies that avoid the others after failures
+    // would send it all they have. That costs capacity on a day of overload.
     double ceiling(const Standing& server) const {
         if (!server.fresh) return 1e300;
-        return std::min(1.0, desk.terms.cold_capacity / 2 * std::pow(2.0, std::min(server.beats / 2, 10)));
+        if (strained) return 0;
+        const double age = seconds(desk.now - *server.entry.last_start) / seconds(desk.terms.warm_after);
+        return desk.terms.cold_capacity + (1 - desk.terms.cold_capacity) * std::clamp(age, 0.0, 1.0);
+    }
+
+    Row sizes(std::size_t k, const Members& open) const {
+        return of(open, [&](const Member& m) { return serves(pools[k], m.seen) ? m.seen.entry.size : 0; });
     }
 
     // Softmax over the servers that a pool is open to, after a part of a step; no fresh one above its ceiling
@@ -329,20 +331,19 @@
     Shares shares(const Members& open, double c, const Shares& downhill) const {
         Shares all(pools.size(), Row(open.size()));
         for (std::size_t k = 0; k < pools.size() && !open.empty(); ++k) {
-            const Row in = of(open, [&](const Member& m) { return serves(pools[k], m.seen) ? 1 : 0; });
-            if (in.sum() == 0) continue;
+            const Row size = sizes(k, open);
+            if (size.sum() == 0) continue;
             Row weight = of(open, [k](const Member& m) { return m.weight[k]; });
             if (!downhill.empty()) weight -= c * downhill[k];
-            const Row size = in * of(open, [](const Member& m) { return m.seen.entry.size; });
-            Row share = in * std::exp(weight - weight.max());
+            Row share = std::exp(weight - weight.max());
+            share[size == 0.0] = 0;
             share /= share.sum();
+            const Row free = share * of(open, [](const Member& m) { return m.seen.fresh ? 0 : 1; });
+            Row eased = share - free;
             for (std::size_t i = 0; i < open.size(); ++i) {
-                share[i] = std::min(share[i], ceiling(open[i]->seen) * size[i] / size.sum());
+                eased[i] = std::min(eased[i], ceiling(open[i]->seen) * size[i] / size.sum());
             }
-            const Row eased = share * of(open, [](const Member& m) { return m.seen.fresh ? 1 : 0; });
-            const Row free = share - eased;
-            if (free.sum() > 0) share = eased + free * (1 - eased.sum()) / free.sum();
-            all[k] = share / share.sum();
+            all[k] = free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
         }
         return all;
     }
@@ -368,25 +369,24 @@
 
 // ---- Levels ----------------------------------------------------------------------------------------------
 
-// Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause: when the median server
-// answers later than a part of the soft deadline, what is let in falls well under what the fleet can bear, so
-// that queues drain, and once answers are early again it goes back to a little less than what was too much.
-// It should answer overload, shared slowness and retry storms. It could harm where RPCs are late for a reason
-// that load does not change; the floor keeps part of them coming.
+// Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause (overload, shared slowness,
+// retry storms): when the median server answers later than a part of the soft deadline, what is let in falls
+// well under what the fleet bears, so that queues drain, and once answers are early it goes back to a little
+// less than what was too much. It could harm where load is not why RPCs are late; hence the floor.
 struct Gate : Part {
     Desk& desk;
     Part &weigher, &channel;
     Row came = Row(desk.terms.methods.size());  // RPCs, older ones fading
     Row level = Row(1.0, desk.terms.methods.size());
-    double window = 0, let_in = 1;
-    double bearable = 1;  // what the fleet is held to bear once its queues are short again
+    double window = 0, let_in = 1, bearable = 1;  // bearable: once its queues are short again
+    bool late = false;
     Instant next_cut{};
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
 
     void on(const Beat&) {
         window += seconds(kStepEvery);
-        weigher.inbox.push_back(Demand{came / window * level});
+        weigher.inbox.push_back(Demand{came / window * level, late});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
         window *= kMemory;
         came *= kMemory;
@@ -394,7 +394,8 @@
 
     void on(const Strain& note) {
         const double aim = kAim * note.soft_deadline;
-        if (note.answer > aim && desk.now >= next_cut) {
+        late = note.answer > aim;
+        if (late && desk.now >= next_cut) {
             if (let_in >= 0.95 * bearable) bearable *= kBackOff;
             let_in = std::max(bearable * std::max(aim / note.answer, 0.5), kLeastLetIn);
             // RPCs let in before a cut show in the reports until then.
@@ -458,7 +459,7 @@
     double allowance = 0;  // lines that ordinary changes may use
     Instant counted{};
 
-    void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{true}); }
+    void on(const Resubscribe&) { if (desk.terms.must_subscribe) desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { bindings.push_back(note); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
     void on(const event::ProxyJoined& note) { proxies[note.proxy] = Proxy{note.zone}; }
@@ -494,8 +495,7 @@
         if (desk.terms.messages_most <= 0) return true;
         const int most = urgent ? desk.terms.messages_most - 1 : desk.terms.messages_most / 2;
         for (auto& [id, proxy] : proxies) {
-            const Instant since = desk.now - desk.terms.messages_span;
-            std::erase_if(proxy.messages, [since](Instant sent) { return sent <= since; });
+            std::erase_if(proxy.messages, [&](auto t) { return t <= desk.now - desk.terms.messages_span; });
             if (std::ssize(proxy.messages) >= most) return false;
         }
         return true;
@@ -649,7 +649,7 @@
         desk_.now = now;
         if (!std::exchange(started_, true)) {
             desk_.orders.push_back(order::StartTimer{kTimer, kTick});
-            if (desk_.terms.must_subscribe) channel_.inbox.push_back(Resubscribe{});
+            channel_.inbox.push_back(Resubscribe{});
         }
         for (Event& event : std::exchange(heard_, {})) std::visit([this](auto& e) { apply(e); }, event);
         while (!desk_.agenda.empty() && desk_.agenda.begin()->first <= now) {
@@ -670,15 +670,13 @@
         using Form = event::List::Form;
         if (list.form == Form::unavailable) {
             // A broken subscription is asked for anew, after a wait that instances do not share.
-            const auto wait = Span{std::uniform_int_distribution<int>(2'000, 10'000)(desk_.chance)};
-            if (!desk_.terms.must_subscribe) return;
+            const Span wait{2'000 + desk_.chance() % 8'000};
             return (void)desk_.agenda.emplace(desk_.now + wait, std::pair{&channel_, Resubscribe{}});
         }
         std::set<ServerId> named;
         for (const ListedServer& entry : list.servers) {
             if (entry.server.value.empty()) continue;
             named.insert(entry.server);
-            if (entry.phase == Phase::gone && !servers_.contains(entry.server)) continue;
             const auto at = servers_.try_emplace(entry.server, Part{}, desk_, weigher_, keeper_).first;
             at->second.inbox.push_back(Listed{entry});
         }
@@ -703,12 +701,14 @@
         const bool sound = came.method.value >= 0 && came.method.value < std::ssize(desk_.terms.methods);
         if (sound && counts(came.count, came.unanswered)) gate_.inbox.push_back(came);
     }
-    void apply(event::ProxyJoined& joined) { for (Part* p : both_) p->inbox.push_back(joined); }
-    void apply(event::ProxyLeft& left) { for (Part* p : both_) p->inbox.push_back(left); }
-    void apply(event::SliceGiven& given) { keeper_.inbox.push_back(given); }
-    void apply(event::SliceOwner& owner) { keeper_.inbox.push_back(owner); }
-    template <class NotActedOn>
-    void apply(NotActedOn&) {}
+    template <class Other>
+    void apply(Other& event) {  // what means nothing to any part is not acted on
+        if constexpr (requires { keeper_.on(event); }) keeper_.inbox.push_back(event);
+        if constexpr (requires { weigher_.on(event); }) {
+            weigher_.inbox.push_back(event);
+            channel_.inbox.push_back(event);
+        }
+    }
 
     static bool counts(double all, double part) { return std::isfinite(all + part) && all > 0 && part >= 0; }
 
@@ -736,7 +736,6 @@
     Gate gate_{{}, desk_, weigher_, channel_};
     Weigher weigher_{desk_, channel_, gate_};
     SliceKeeper keeper_{{}, desk_, channel_};
-    std::vector<Part*> both_{&channel_, &weigher_};  // who must know the proxies
     std::map<ServerId, Server> servers_;
 };
 
