A step is a whole number of report periods, 4 s, and remembers a quarter

Cause: steps of 2.5 s acted again before what the last one did was heard, and where reports come each 2 s they saw now one period, now two.

--- a/include/micaroad/types.hpp
+++ b/include/micaroad/types.hpp
@@ -70,7 +70,7 @@
     double lines_waiting_most = 0;
     int messages_most = 0;  // to one proxy within messages_span; 0: no limit
     Span messages_span{};
-    Span report_every{};
+    Span report_every{1};  // at least one unit
     Span message_longest{};  // the longest a message travels
     Span drain_grace{};
     Span warm_after{};
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -44,9 +44,9 @@
     return 0;
 }
 
-// The design starts at 5 s; half of it follows troubles and still sees several RPCs a server.
-constexpr Span kStepEvery = std::chrono::milliseconds(2500);
-constexpr double kMemory = 0.5;  // of what was heard before a step: one alone sees too few RPCs
+// The design starts at 5 s. Shorter steps act again before what the last one did is heard.
+constexpr Span kStepEvery = std::chrono::seconds(4);
+constexpr double kMemory = 0.25;  // of what was heard before a step: one alone sees few RPCs a server
 
 // ---- Notes: what the parts put into each other's inboxes -------------------------------------------------
 
@@ -74,10 +74,11 @@
 
 struct Part { std::deque<Note> inbox; };
 
-// What every part may look at.
-struct Desk {
+struct Desk {  // what every part may look at
     const Terms terms;
     std::minstd_rand chance;
+    // A whole number of report periods: a step that cuts through one sees now more of them, now fewer.
+    Span step = (kStepEvery + terms.report_every - Span{1}) / terms.report_every * terms.report_every;
     Instant now{};
     std::vector<Order> orders{};
     std::multimap<Instant, std::pair<Part*, Note>> agenda{};  // every due time but the periodic one
@@ -114,7 +115,7 @@
 
     void on(const Beat&) {
         ++self.beats;
-        self.window += seconds(kStepEvery);
+        self.window += seconds(desk.step);
         if (self.open) tell();
         for (double* sum : {&self.tries, &self.bad, &self.answer_seconds, &self.window}) *sum *= kMemory;
     }
@@ -385,7 +386,7 @@
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
 
     void on(const Beat&) {
-        window += seconds(kStepEvery);
+        window += seconds(desk.step);
         weigher.inbox.push_back(Demand{came / window * level, late});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
         window *= kMemory;
@@ -667,8 +668,7 @@
     static constexpr Span kTick = std::chrono::milliseconds(100);  // short beside a message's way
 
     void apply(event::List& list) {
-        using Form = event::List::Form;
-        if (list.form == Form::unavailable) {
+        if (list.form == event::List::Form::unavailable) {
             // A broken subscription is asked for anew, after a wait that instances do not share.
             const Span wait{2'000 + desk_.chance() % 8'000};
             return (void)desk_.agenda.emplace(desk_.now + wait, std::pair{&channel_, Resubscribe{}});
@@ -680,15 +680,14 @@
             const auto at = servers_.try_emplace(entry.server, Part{}, desk_, weigher_, keeper_).first;
             at->second.inbox.push_back(Listed{entry});
         }
-        for (auto& [id, actor] : servers_) {
-            if (list.form != Form::changes && !named.contains(id)) actor.inbox.push_back(Unlisted{});
-        }
+        if (list.form == event::List::Form::changes) return;
+        for (auto& [id, actor] : servers_) if (!named.contains(id)) actor.inbox.push_back(Unlisted{});
     }
     void apply(event::TimerDue& due) {
         if (due.timer != kTimer) return;
         desk_.orders.push_back(order::StartTimer{kTimer, kTick});
         if (desk_.now < next_step_) return;
-        next_step_ = desk_.now + kStepEvery;
+        next_step_ = desk_.now + desk_.step;
         gate_.inbox.push_back(Beat{});
         for (auto& [id, actor] : servers_) actor.inbox.push_back(Beat{});
     }
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -89,7 +89,7 @@
     terms.lines_waiting_most = value_or(family, "queue_cap", 0.0);
     terms.messages_most = value_or(family, "pushes_allowed", 0);
     terms.messages_span = span_or(family, "messages_over_us");
-    terms.report_every = span_or(family, "report_every_us");
+    terms.report_every = std::max(span_or(family, "report_every_us"), Span{1});
     terms.message_longest = span_or(family, "transit_max_us");
     terms.drain_grace = span_or(rules, "stop_sending_within_us");
     terms.warm_after = span_or(rules, "warm_after_us");
