Fresh servers wait, and no further tries go, while levels are cut

Further tries after pushed-back ones and proxies' own avoidance put 7 times its part on the cold server.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -314,8 +314,8 @@
 
     // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here its
     // part follows the least that its age lets it do: the rule's multiple is left for further tries. While
-    // the median server is late it waits until it is warm, as proxies that avoid the others after failures
-    // would send it all they have. That costs capacity on a day of overload.
+    // the fleet is late or levels are cut it waits until it is warm, as proxies that avoid the others after
+    // failures would send it all they have. That costs capacity on a day of overload.
     double ceiling(const Standing& server) const {
         if (!server.fresh) return 1e300;
         if (strained) return 0;
@@ -387,7 +387,7 @@
 
     void on(const Beat&) {
         window += seconds(desk.step);
-        weigher.inbox.push_back(Demand{came / window * level, late});
+        weigher.inbox.push_back(Demand{came / window * level, late || let_in < 1});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
         window *= kMemory;
         came *= kMemory;
@@ -443,8 +443,8 @@
 // Mechanism 5. Guards against tables that outlive what they say: drains, fresh servers and joining proxies go
 // out at once and ahead of the budget, up to the rule's limits; all else waits its turn, merged.
 struct Channel : Part {
-    // Mechanism 4. A further try only after proof that the first never ran: no effect can come twice,
-    // whatever the method, and a busy fleet is not sent its work twice.
+    // Mechanism 4. A further try only after proof that the first never ran, and none while a level is cut: no
+    // effect can come twice, whatever the method, and a busy fleet is not sent its work twice.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
     struct Line { double wanted = 0, sent = 0; bool urgent = false; };
     struct Proxy { ZoneId zone; bool bound = false; std::vector<Instant> messages{}; };
@@ -530,10 +530,11 @@
         }
         for (std::size_t m = 0; m < wanted_levels.size(); ++m) {
             const double wanted = wanted_levels[m], sent = sent_levels[m];
-            const bool same = std::abs(wanted - sent) <= kLevelWorthSending && (wanted < 1 || sent >= 1);
+            const bool same = std::abs(wanted - sent) <= kLevelWorthSending && (wanted < 1) == (sent < 1);
             if (same || !fits(1)) continue;
             sent_levels[m] = wanted;
-            desk.orders.push_back(order::SetLevel{{}, {MethodId{static_cast<int>(m)}}, wanted, kFurther});
+            const FurtherTry further = wanted_levels.min() < 1 ? FurtherTry::never : kFurther;
+            desk.orders.push_back(order::SetLevel{{}, {MethodId{static_cast<int>(m)}}, wanted, further});
             lines += 1;
         }
         if (lines == 0) return;
