Fresh servers wait for a while after any strain; levels as before

A fresh server now waits while the last lateness or cut is less than the warming time old. Tried and not kept: levels that hold a rate.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -313,8 +313,8 @@
     }
 
     // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here its
-    // part follows the least that its age lets it do: the rule's multiple is left for further tries. While
-    // the fleet is late or levels are cut it waits until it is warm, as proxies that avoid the others after
+    // part follows the least that its age lets it do: the rule's multiple is left for further tries. After
+    // the fleet was late or levels were cut it waits until it is warm, as proxies that avoid the others after
     // failures would send it all they have. That costs capacity on a day of overload.
     double ceiling(const Standing& server) const {
         if (!server.fresh) return 1e300;
@@ -380,14 +380,13 @@
     Row came = Row(desk.terms.methods.size());  // RPCs, older ones fading
     Row level = Row(1.0, desk.terms.methods.size());
     double window = 0, let_in = 1, bearable = 1;  // bearable: once its queues are short again
-    bool late = false;
-    Instant next_cut{};
+    Instant next_cut{}, calm_from{};
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
 
     void on(const Beat&) {
         window += seconds(desk.step);
-        weigher.inbox.push_back(Demand{came / window * level, late || let_in < 1});
+        weigher.inbox.push_back(Demand{came / window * level, desk.now < calm_from});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
         window *= kMemory;
         came *= kMemory;
@@ -395,7 +394,7 @@
 
     void on(const Strain& note) {
         const double aim = kAim * note.soft_deadline;
-        late = note.answer > aim;
+        const bool late = note.answer > aim;
         if (late && desk.now >= next_cut) {
             if (let_in >= 0.95 * bearable) bearable *= kBackOff;
             let_in = std::max(bearable * std::max(aim / note.answer, 0.5), kLeastLetIn);
@@ -406,6 +405,7 @@
             bearable = std::min(1.0, bearable * 1.06);
             let_in = std::min(bearable, let_in * 1.5);
         }
+        if (late || let_in < 1) calm_from = desk.now + desk.terms.warm_after;
         share_out();
     }
 
