--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -312,15 +312,15 @@
         return true;
     }
 
-    // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here its
-    // part follows the least that its age lets it do: the rule's multiple is left for further tries. After
-    // the fleet was late or levels were cut it waits until it is warm, as proxies that avoid the others after
-    // failures would send it all they have. That costs capacity on a day of overload.
+    // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here it
+    // waits until it is half warm by its age, and after strain until it is warm: proxies that avoid the others
+    // after failures would send it all they have. Then its part follows the least that its age lets it do.
+    // That costs capacity on a day of overload.
     double ceiling(const Standing& server) const {
         if (!server.fresh) return 1e300;
-        if (strained) return 0;
         const double age = seconds(desk.now - *server.entry.last_start) / seconds(desk.terms.warm_after);
-        return desk.terms.cold_capacity + (1 - desk.terms.cold_capacity) * std::clamp(age, 0.0, 1.0);
+        if (strained || age < 0.5) return 0;
+        return desk.terms.cold_capacity + (1 - desk.terms.cold_capacity) * std::min(age, 1.0);
     }
 
     Row sizes(std::size_t k, const Members& open) const {
@@ -405,12 +405,13 @@
             bearable = std::min(1.0, bearable * 1.06);
             let_in = std::min(bearable, let_in * 1.5);
         }
-        if (late || let_in < 1) calm_from = desk.now + desk.terms.warm_after;
+        if (note.answer > kCalm * aim || let_in < 1) calm_from = desk.now + desk.terms.warm_after;
         share_out();
     }
 
    private:
     static constexpr double kAim = 0.7;  // a mean so late puts a quarter of exponential answers past it
+    static constexpr double kCalm = 0.6;  // a fleet nearer to late than this can jam before it is heard of
     static constexpr double kLeastLetIn = 0.3, kBackOff = 0.85;
 
     // Least criticality first, or all methods alike: whichever keeps more of the goal.
