--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -313,7 +313,7 @@
     }
 
     // Mechanism 2. The design starts a fresh server at a quarter of its listed share and doubles it; here it
-    // waits until it is half warm by its age, and after strain until it is warm: proxies that avoid the others
+    // waits until it is half warm by its age, and after strain until it is warm: proxies that avoid others
     // after failures would send it all they have. Then its part follows the least that its age lets it do.
     // That costs capacity on a day of overload.
     double ceiling(const Standing& server) const {
