--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -14,7 +14,6 @@
 #include <cmath>
 #include <deque>
 #include <map>
-#include <numeric>
 #include <random>
 #include <set>
 #include <utility>
@@ -194,16 +193,16 @@
         const Members open = open_members();
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish(false);
-        const auto ahead = [&](const Shares& then, TailTerm tail) {
-            // Proxies that are not ours are taken to load the servers as ours do.
-            const double all = std::max(1.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()));
-            Row at = rate * all;
-            for (std::size_t k = 0; k < pools.size(); ++k) {
-                const Row now = of(open, [k](const Member& m) { return m.share[k]; });
-                at += load_per_rate * pools[k].rate * (then[k] - now);
-            }
+        // Proxies that are not ours are taken to load the servers as ours do.
+        rate *= std::max(1.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()));
+        const Row capacity = rate + 1.0 / answer;
+        Shares now(pools.size());  // as published
+        for (std::size_t k = 0; k < now.size(); ++k) now[k] = of(open, [k](auto& m) { return m.share[k]; });
+        const auto ahead = [&](const Shares& to, TailTerm tail) {
+            Row at = rate;
+            for (int k = 0; k < std::ssize(now); ++k) at += load_per_rate * pools[k].rate * (to[k] - now[k]);
             at[at < 0.0] = 0;
-            return look_ahead(at, rate * all + 1.0 / answer, tail);
+            return look_ahead(at, capacity, tail);
         };
         const Shares stay = shares(open, 0, {});
         // The factor stops at the limit: past it the model is so stiff that a larger one allows no step.
@@ -227,7 +226,7 @@
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
         for (std::size_t k = 0; k < pools.size() && here.cost - best > kLeastGain * here.cost; ++k) {
-            const Row listed = sizes(k, open) / std::max(sizes(k, open).sum(), 1e-9);
+            const Row size = sizes(k, open), listed = size / std::max(size.sum(), 1e-9);
             const Row share = shares(open, c, downhill)[k];
             for (std::size_t i = 0; i < open.size(); ++i) {
                 const double kept = std::clamp(share[i], kLeast * listed[i], kMost * listed[i]);
