--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,73 @@
+// One connection that was taken: a reader that turns its bytes into arrivals, and a writer once it is a stream.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <memory>
+#include <string_view>
+
+#include "log/log.hpp"
+#include "net/crew.hpp"
+#include "net/socket.hpp"
+#include "planner/inbox.hpp"
+#include "protocol/line_reader.hpp"
+#include "protocol/message.hpp"
+
+namespace micaroad::net {
+
+enum class Role { stranger, collector, stream };
+
+// What every connection shares.
+struct House {
+    const Names& names;
+    const int proxies;
+    protocol::Pool& pool;
+    Inbox& inbox;
+    Log& log;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+   public:
+    // Strangers that say nothing are ended after this long; so is a collector, which reports twice a second and
+    // dials again at no cost. A stream isn't: its proxy would lose it by our doing.
+    static constexpr std::chrono::seconds kStrangerPatience{10}, kCollectorPatience{60};
+    // Unread orders past this: the proxy has stopped reading.
+    static constexpr std::size_t kMostUnread = 2 * 1024 * 1024;
+
+    Connection(House& house, StreamId id, Socket socket, std::string peer);
+
+    void read(Crew& crew);               // until the end; run by a thread of its own
+    bool post(std::string_view message);  // any thread, never waits; false: it can't be kept up with
+    void close();                         // any thread
+    Role role() const { return role_; }
+    StreamId id() const { return id_; }
+
+   private:
+    std::string read_to_end(Crew& crew);  // why it ended
+    bool take(std::string_view line, Crew& crew, std::string& why);
+    bool take(const protocol::AliveAsked&, Crew& crew, std::string& why);
+    bool take(const protocol::CollectorNamed& named, Crew& crew, std::string& why);
+    bool take(const event::ProxyJoined& joined, Crew& crew, std::string& why);
+    bool take(const event::MarkApplied& applied, Crew& crew, std::string& why);
+    bool take(const event::Outcomes& met, Crew& crew, std::string& why);
+    bool take(const event::Arrivals& came, Crew& crew, std::string& why);
+    void write_on();
+
+    House& house_;
+    const StreamId id_;
+    const Socket socket_;
+    const std::string peer_;
+    std::atomic<Role> role_{Role::stranger};
+    ProxyId proxy_{-1};  // the reader's
+    std::chrono::steady_clock::time_point heard_;
+
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    protocol::Chain unread_;
+    bool closing_ = false;
+};
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/crew.cpp
@@ -0,0 +1,51 @@
+#include "net/crew.hpp"
+
+#include <pthread.h>
+
+#include <memory>
+
+namespace micaroad::net {
+
+struct Crew::Task {
+    Crew& crew;
+    std::function<void()> work;
+};
+
+bool Crew::start(std::function<void()> work) {
+    {
+        const std::lock_guard lock(mutex_);
+        if (running_ == most_) return false;
+        ++running_;
+    }
+    auto task = std::make_unique<Task>(Task{*this, std::move(work)});
+    pthread_attr_t attributes;
+    pthread_t thread;
+    pthread_attr_init(&attributes);
+    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    pthread_attr_setstacksize(&attributes, kStack);
+    const bool started = pthread_create(&thread, &attributes, run, task.get()) == 0;
+    pthread_attr_destroy(&attributes);
+    started ? (void)task.release() : ended();
+    return started;
+}
+
+void* Crew::run(void* pointer) {
+    const std::unique_ptr<Task> task(static_cast<Task*>(pointer));
+    task->work();
+    task->work = nullptr;  // what it holds goes before the crew may
+    task->crew.ended();
+    return nullptr;
+}
+
+void Crew::ended() {
+    const std::lock_guard lock(mutex_);
+    --running_;
+    gone_.notify_all();
+}
+
+void Crew::wait() {
+    std::unique_lock lock(mutex_);
+    gone_.wait(lock, [this] { return running_ == 0; });
+}
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/crew.hpp
@@ -0,0 +1,33 @@
+// Threads with small stacks of a stated size, never more of them than was said, counted until they are gone.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+
+namespace micaroad::net {
+
+class Crew {
+   public:
+    static constexpr std::size_t kStack = 128 * 1024;
+
+    explicit Crew(std::size_t most) : most_(most) {}
+    ~Crew() { wait(); }
+    Crew(const Crew&) = delete;
+    Crew& operator=(const Crew&) = delete;
+
+    bool start(std::function<void()> work);  // false if there is no room for one more
+    void wait();                             // until all have ended
+
+   private:
+    struct Task;
+    static void* run(void* task);
+    void ended();
+
+    const std::size_t most_;
+    std::mutex mutex_;
+    std::condition_variable gone_;
+    std::size_t running_ = 0;
+};
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/door.cpp
@@ -0,0 +1,106 @@
+#include "net/door.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <thread>
+
+namespace micaroad::net {
+
+Door::Door(House house, std::size_t most_connections)
+    : house_(house), most_(most_connections), crew_(2 * most_connections + 1) {}
+
+Door::~Door() { shut(); }
+
+bool Door::open(const Address& address, std::string& why) {
+    listener_ = Socket::listening(address, why);
+    if (!listener_.open()) return false;
+    why = "no thread";
+    return crew_.start([this] { accept_on(); });
+}
+
+void Door::shut() {
+    listener_.shut_down();
+    {
+        const std::lock_guard lock(mutex_);
+        shut_ = true;
+        for (const auto& [id, connection] : connections_) connection->close();
+    }
+    crew_.wait();
+}
+
+void Door::accept_on() {
+    for (;;) {
+        Address from;
+        from.length = sizeof from.storage;
+        Socket socket(::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from.storage), &from.length, SOCK_CLOEXEC));
+        const int error = errno;
+        {
+            const std::lock_guard lock(mutex_);
+            if (shut_) return;
+        }
+        if (socket.open()) {
+            take(std::move(socket), from);
+        } else if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM) {
+            // The connection waits in the backlog; a stranger's end makes room for it.
+            house_.log.warn("no connection can be taken: {}", std::strerror(error));
+            shed_stranger();
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        } else if (error == EINVAL || error == EBADF) {
+            return;
+        }
+    }
+}
+
+void Door::take(Socket socket, const Address& from) {
+    std::unique_lock lock(mutex_);
+    if (connections_.size() >= most_) {
+        lock.unlock();
+        if (!shed_stranger()) return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
+        lock.lock();
+    }
+    const StreamId id{next_++};
+    const auto connection = std::make_shared<Connection>(house_, id, std::move(socket), text_of(from));
+    connections_[id] = connection;
+    lock.unlock();
+    const bool started = crew_.start([this, connection] {
+        connection->read(crew_);
+        const std::lock_guard gone(mutex_);
+        connections_.erase(connection->id());
+    });
+    if (started) return;
+    house_.log.warn("{} is turned away: no thread for it", text_of(from));
+    lock.lock();
+    connections_.erase(id);
+}
+
+// False if there is none.
+bool Door::shed_stranger() {
+    const std::lock_guard lock(mutex_);
+    for (auto at = connections_.begin(); at != connections_.end(); ++at) {
+        if (at->second->role() != Role::stranger) continue;
+        at->second->close();
+        connections_.erase(at);
+        return true;
+    }
+    return false;
+}
+
+std::shared_ptr<Connection> Door::find(StreamId stream) {
+    const std::lock_guard lock(mutex_);
+    const auto at = connections_.find(stream);
+    return at == connections_.end() ? nullptr : at->second;
+}
+
+void Door::write(StreamId stream, std::string_view message) {
+    const auto connection = find(stream);
+    if (!connection || connection->post(message)) return;
+    house_.log.warn("a stream is ended: its proxy does not read");
+    connection->close();
+}
+
+void Door::close(StreamId stream) {
+    if (const auto connection = find(stream)) connection->close();
+}
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/door.hpp
@@ -0,0 +1,39 @@
+// The planner's address: takes connections, up to a number, and gives each its thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "net/connection.hpp"
+
+namespace micaroad::net {
+
+class Door {
+   public:
+    // Connections at a time. Past it the oldest stranger goes; where there is none, the newcomer.
+    Door(House house, std::size_t most_connections);
+    ~Door();
+
+    bool open(const Address& address, std::string& why);
+    void shut();  // ends every connection; returns when all threads are gone
+    void write(StreamId stream, std::string_view message);
+    void close(StreamId stream);
+
+   private:
+    void accept_on();
+    void take(Socket socket, const Address& from);
+    bool shed_stranger();
+    std::shared_ptr<Connection> find(StreamId stream);
+
+    House house_;
+    const std::size_t most_;
+    Socket listener_;
+    std::mutex mutex_;
+    std::map<StreamId, std::shared_ptr<Connection>> connections_;
+    std::uint64_t next_ = 1;
+    bool shut_ = false;
+    Crew crew_;  // last: its threads use all of the above
+};
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/prober.cpp
@@ -0,0 +1,54 @@
+#include "net/prober.hpp"
+
+#include <array>
+
+#include "protocol/http.hpp"
+
+namespace micaroad::net {
+
+void Prober::ask(const ServerId& server, const std::string& address) {
+    const Instant begun = clock_();
+    const auto end = [this, server, begun](bool ok) {
+        inbox_.put(arrival::ProbeEnded{{server, ok, clock_() - begun}});
+    };
+    const auto where = address_of(address);
+    if (!where || !crew_.start([this, end, where, address] { end(answers(*where, address)); })) end(false);
+}
+
+void Prober::stop() {
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        for (const Socket* socket : live_) socket->shut_down();
+    }
+    crew_.wait();
+}
+
+bool Prober::answers(const Address& address, const std::string& host) {
+    Socket socket = Socket::unconnected(address);
+    if (!socket.open()) return false;
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_) return false;
+        live_.insert(&socket);
+    }
+    const bool ok = [&] {
+        if (!socket.connect(address, kPatience)) return false;
+        socket.wait_at_most(kPatience);
+        if (!socket.send_all(protocol::http_get(host, "/ping"))) return false;
+        const auto until = std::chrono::steady_clock::now() + kPatience;
+        protocol::HttpReader http;
+        std::array<char, 4 * 1024> buffer;
+        while (!http.in_body() && std::chrono::steady_clock::now() < until) {
+            const ssize_t got = socket.receive(buffer.data(), buffer.size());
+            if (got <= 0) return false;
+            if (!http.feed({buffer.data(), static_cast<std::size_t>(got)}, [](std::string_view) {})) return false;
+        }
+        return http.in_body() && http.status() == 200;
+    }();
+    const std::lock_guard lock(mutex_);
+    live_.erase(&socket);
+    return ok;
+}
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/net/prober.hpp
@@ -0,0 +1,37 @@
+// Asks servers whether they answer, a few at a time.
+#pragma once
+
+#include <chrono>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "net/crew.hpp"
+#include "net/socket.hpp"
+#include "planner/inbox.hpp"
+
+namespace micaroad::net {
+
+class Prober {
+   public:
+    static constexpr std::size_t kMost = 16;                      // at a time; one more counts as not answered
+    static constexpr std::chrono::milliseconds kPatience{1'000};  // for the connection, then for the answer
+
+    Prober(Inbox& inbox, Clock clock) : inbox_(inbox), clock_(std::move(clock)) {}
+    ~Prober() { stop(); }
+
+    void ask(const ServerId& server, const std::string& address);
+    void stop();
+
+   private:
+    bool answers(const Address& address, const std::string& host);
+
+    Inbox& inbox_;
+    const Clock clock_;
+    std::mutex mutex_;
+    std::set<const Socket*> live_;
+    bool stopping_ = false;
+    Crew crew_{kMost};
+};
+
+}  // namespace micaroad::net
--- /dev/null
+++ b/src/planner/core.cpp
@@ -0,0 +1,155 @@
+#include "planner/core.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "protocol/push_writer.hpp"
+
+namespace micaroad {
+namespace {
+
+constexpr Span kLagSaidEvery = std::chrono::seconds(15);
+
+double ms(Span span) { return static_cast<double>(span.count()) / 10; }
+
+const char* name_of(Phase phase) {
+    return phase == Phase::ready ? "ready" : phase == Phase::draining ? "draining" : "gone";
+}
+
+}  // namespace
+
+Core::Core(Terms terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log)
+    : names_(std::move(names)),
+      subscribed_(terms.must_subscribe),
+      outlet_(outlet),
+      log_(log),
+      planner_(std::move(terms), seed),
+      outbox_(names_.methods.size()) {}
+
+void Core::turn(std::vector<Inbox::Item>& items, Instant now) {
+    for (auto& item : items) std::visit([this](auto& arrived) { hear(arrived); }, item.arrival);
+    for (; !timers_.empty() && timers_.begin()->first <= now; timers_.erase(timers_.begin())) {
+        planner_.hear(event::TimerDue{timers_.begin()->second});
+    }
+    const std::vector<Order> orders = planner_.decide(now);
+    for (const Order& order : orders) carry_out(order, now);
+    for (const Letter& letter : outbox_.letters(orders)) {
+        const auto stream = streams_.find(letter.proxy);
+        if (stream == streams_.end()) continue;
+        ++lag_.letters, lag_.lines += static_cast<std::int64_t>(letter.channel_lines());
+        const auto message = protocol::write_push(letter, names_);
+        if (message) outlet_.write(stream->second, *message);
+        else log_.error("proxy {}: an order of {} lines is too large for one message", letter.proxy.value,
+                        letter.channel_lines());
+    }
+}
+
+std::optional<Instant> Core::next_due() const {
+    return timers_.empty() ? std::nullopt : std::optional{timers_.begin()->first};
+}
+
+// A new stream may come before the old one is seen to end, and its end later still.
+void Core::hear(arrival::StreamBegun& begun) {
+    const ProxyId proxy = begun.joined.proxy;
+    if (const auto old = streams_.find(proxy); old != streams_.end()) {
+        if (begun.stream < old->second) return outlet_.close(begun.stream);
+        log_.info("proxy {}: a new stream replaces its old one", proxy.value);
+        outlet_.close(old->second);
+        proxies_.erase(old->second);
+        outbox_.left(proxy);
+        planner_.hear(event::ProxyLeft{proxy});
+    }
+    log_.info("proxy {} joined from {}, about {} RPCs a second{}", proxy.value,
+              names_.zones[static_cast<std::size_t>(begun.joined.zone.value)], begun.joined.rpcs_per_second,
+              begun.joined.standing_only ? ", with a table of its start" : "");
+    streams_[proxy] = begun.stream;
+    proxies_[begun.stream] = proxy;
+    outbox_.joined(proxy);
+    planner_.hear(begun.joined);
+}
+
+void Core::hear(arrival::StreamAnswered& answered) {
+    if (!proxies_.contains(answered.stream)) return;  // of a stream that was replaced
+    outbox_.answered(answered.applied.proxy, answered.applied.mark);
+    planner_.hear(answered.applied);
+}
+
+void Core::hear(arrival::StreamEnded& ended) {
+    const auto at = proxies_.find(ended.stream);
+    if (at == proxies_.end()) return;
+    const ProxyId proxy = at->second;
+    log_.info("proxy {} left: {}", proxy.value, ended.why);
+    proxies_.erase(at);
+    streams_.erase(proxy);
+    outbox_.left(proxy);
+    planner_.hear(event::ProxyLeft{proxy});
+}
+
+void Core::hear(arrival::Reported& reported) {
+    std::visit([this](auto& report) { planner_.hear(report); }, reported.report);
+}
+
+void Core::hear(arrival::ListTold& told) {
+    auto& [version, list, addresses, dropped] = told.said;
+    for (const std::string& why : dropped) log_.warn("discovery: entry dropped, {}", why);
+    const bool complete = list.form == event::List::Form::complete;
+    if (!complete && version <= version_) {
+        return log_.warn("discovery: changes of version {} dropped, {} is held", version, version_);
+    }
+    version_ = version;
+    if (complete) addresses_.clear();
+    for (const ListedServer& server : list.servers) {
+        if (server.phase == Phase::gone) addresses_.erase(server.server);
+        else addresses_[server.server] = addresses[server.server];
+        if (!complete) log_.info("server {} is {}", server.server.value, name_of(server.phase));
+    }
+    log_.info("discovery: version {}, {} of {} servers{}", version, list.servers.size(), addresses_.size(),
+              complete ? ", the whole list" : "");
+    planner_.hear(std::move(list));
+}
+
+// Where a planner must ask for the list, the module asks again; elsewhere the watch comes back by itself.
+void Core::hear(arrival::WatchLost&) {
+    if (subscribed_) planner_.hear(event::List{event::List::Form::unavailable, {}});
+}
+
+void Core::hear(arrival::ProbeEnded& ended) {
+    if (probed_.erase(ended.probed.server) > 0 && addresses_.contains(ended.probed.server)) {
+        planner_.hear(ended.probed);
+    }
+}
+
+void Core::carry_out(const Order& order, Instant now) {
+    if (const auto* timer = std::get_if<order::StartTimer>(&order)) {
+        timers_.emplace(now + timer->after, timer->timer);
+    } else if (const auto* probe = std::get_if<order::Probe>(&order)) {
+        const auto address = addresses_.find(probe->server);
+        if (address != addresses_.end() && probed_.insert(probe->server).second) {
+            outlet_.probe(probe->server, address->second);
+        }
+    } else if (std::holds_alternative<order::FetchList>(order)) {
+        outlet_.fetch_list();
+    } else if (const auto* line = std::get_if<order::LogLine>(&order)) {
+        log_.info("module: {}", line->text);
+    } else if (!Outbox::served(order) && unserved_.insert(order.index()).second) {
+        log_.warn("the module orders what this protocol has no words for (order {}): not served", order.index());
+    }
+}
+
+void Core::note_lag(const std::vector<Inbox::Item>& items, Instant done) {
+    for (const auto& item : items) {
+        const Span lag = std::max(done - item.at, Span{});
+        lag_.longest = std::max(lag_.longest, lag);
+        lag_.sum += lag, ++lag_.number;
+    }
+    if (done - lag_.since < kLagSaidEvery) return;
+    if (lag_.since != Instant{}) {
+        const double mean = lag_.number > 0 ? ms(lag_.sum) / static_cast<double>(lag_.number) : 0;
+        log_.info("from arrival to orders: mean {:.1f} ms, longest {:.1f} ms of {} arrivals; "
+                  "{} messages with {} lines; {} proxies joined",
+                  mean, ms(lag_.longest), lag_.number, lag_.letters, lag_.lines, streams_.size());
+    }
+    lag_ = {done, {}, {}, 0, 0, 0};
+}
+
+}  // namespace micaroad
--- /dev/null
+++ b/src/planner/ports.hpp
@@ -0,0 +1,55 @@
+// What passes between the core and the drivers round it. Neither knows the other.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "micaroad/planner.hpp"
+#include "protocol/server_list.hpp"
+
+namespace micaroad {
+
+// A connection, in the order in which they were taken: of two that speak for one proxy the later one holds.
+using StreamId = Id<struct StreamTag, std::uint64_t>;
+
+namespace arrival {
+struct StreamBegun {
+    StreamId stream;
+    event::ProxyJoined joined;
+};
+struct StreamAnswered {
+    StreamId stream;
+    event::MarkApplied applied;
+};
+struct StreamEnded {
+    StreamId stream;
+    std::string why;
+};
+struct Reported {
+    std::variant<event::Outcomes, event::Arrivals> report;
+};
+struct ListTold {
+    protocol::ListSaid said;
+};
+struct WatchLost {};  // discovery says nothing: the list stands
+struct ProbeEnded {
+    event::Probed probed;
+};
+struct Stop {};
+}  // namespace arrival
+
+using Arrival = std::variant<arrival::StreamBegun, arrival::StreamAnswered, arrival::StreamEnded, arrival::Reported,
+                             arrival::ListTold, arrival::WatchLost, arrival::ProbeEnded, arrival::Stop>;
+
+// Where the core's words go. No call waits for a peer.
+class Outlet {
+   public:
+    virtual ~Outlet() = default;
+    virtual void write(StreamId stream, std::string_view message) = 0;
+    virtual void close(StreamId stream) = 0;
+    virtual void probe(const ServerId& server, const std::string& address) = 0;
+    virtual void fetch_list() = 0;
+};
+
+}  // namespace micaroad
--- /dev/null
+++ b/src/planner/program.cpp
@@ -0,0 +1,95 @@
+#include "planner/program.hpp"
+
+#include <algorithm>
+
+namespace micaroad {
+
+const char* name_of(Stage stage) {
+    switch (stage) {
+        case Stage::made: return "made";
+        case Stage::hearing_known: return "hearing the known list";
+        case Stage::serving: return "serving";
+        case Stage::ending: return "ending";
+        case Stage::ended: return "ended";
+        case Stage::failed: return "failed";
+    }
+    return "?";
+}
+
+namespace {
+
+net::Address address_or_throw(const std::string& text, const char* key) {
+    const auto address = net::address_of(text);
+    if (!address) throw BadStart(std::string("'") + key + "' is no address and port: " + text);
+    return *address;
+}
+
+}  // namespace
+
+Program::Program(StartFile start, Clock clock, Log& log)
+    : start_(std::move(start)),
+      clock_(std::move(clock)),
+      log_(log),
+      inbox_(clock_),
+      door_({start_.names, start_.terms.proxies, pool_, inbox_, log_},
+            std::min(kMostConnections, std::max(start_.sockets, kSocketsKept + 16) - kSocketsKept)),
+      prober_(inbox_, clock_),
+      watch_(start_.discovery, address_or_throw(start_.discovery, "discovery"), start_.names, start_.known.version,
+             inbox_, log_),
+      core_(start_.terms, start_.names, start_.seed, *this, log_) {
+    address_or_throw(start_.listen, "listen");
+}
+
+Program::~Program() {
+    watch_.stop();
+    prober_.stop();
+    door_.shut();
+}
+
+void Program::enter(Stage stage) {
+    stage_ = stage;
+    log_.info("planner {}: {}", start_.name, name_of(stage));
+}
+
+void Program::stop() { inbox_.put(arrival::Stop{}); }
+
+// Nobody is told `alive` before the module has heard the list it is to begin with.
+bool Program::begin_serving(std::string& why) {
+    enter(Stage::hearing_known);
+    std::vector<Inbox::Item> known{{clock_(), arrival::ListTold{start_.known}}};
+    core_.turn(known, clock_());
+    if (!watch_.start()) {
+        why = "no thread for discovery";
+        return false;
+    }
+    return door_.open(*net::address_of(start_.listen), why);
+}
+
+int Program::run() {
+    if (std::string why; !begin_serving(why)) {
+        log_.error("{}: {}", start_.listen, why);
+        enter(Stage::failed);
+        return 1;
+    }
+    enter(Stage::serving);
+    std::thread([this] { decide_on(); }).join();
+    enter(Stage::ending);
+    watch_.stop();
+    prober_.stop();
+    door_.shut();
+    enter(Stage::ended);
+    return 0;
+}
+
+void Program::decide_on() {
+    while (!core_.stopping()) {
+        auto items = inbox_.wait(core_.next_due());
+        core_.turn(items, clock_());
+        core_.note_lag(items, clock_());
+        if (const auto dropped = inbox_.dropped(); dropped > 0) {
+            log_.warn("{} reports dropped: more came than the core can hear", dropped);
+        }
+    }
+}
+
+}  // namespace micaroad
--- /dev/null
+++ b/src/planner/program.hpp
@@ -0,0 +1,56 @@
+// The program from start to exit, as one object whose stages have names. The core has a thread of its own.
+#pragma once
+
+#include <atomic>
+#include <thread>
+
+#include "log/log.hpp"
+#include "net/discovery_watch.hpp"
+#include "net/door.hpp"
+#include "net/prober.hpp"
+#include "planner/core.hpp"
+#include "planner/start_file.hpp"
+
+namespace micaroad {
+
+// made -> hearing_known -> serving -> ending -> ended; failed where it can't serve.
+enum class Stage { made, hearing_known, serving, ending, ended, failed };
+const char* name_of(Stage stage);
+
+class Program : private Outlet {
+   public:
+    Program(StartFile start, Clock clock, Log& log);
+    ~Program() override;
+
+    // Serves until stop() is called, by any thread. The program's exit code.
+    int run();
+    void stop();
+    Stage stage() const { return stage_; }
+
+   private:
+    // What is not for connections: discovery, probes, the listener, files.
+    static constexpr std::size_t kSocketsKept = 64;
+    static constexpr std::size_t kMostConnections = 400;  // two threads each; docs/architecture.md has the sum
+    static constexpr std::size_t kBuffers = 2'048;        // of 16 KiB
+
+    void write(StreamId stream, std::string_view message) override { door_.write(stream, message); }
+    void close(StreamId stream) override { door_.close(stream); }
+    void probe(const ServerId& server, const std::string& address) override { prober_.ask(server, address); }
+    void fetch_list() override { watch_.fetch(); }
+    void enter(Stage stage);
+    bool begin_serving(std::string& why);
+    void decide_on();
+
+    StartFile start_;
+    const Clock clock_;
+    Log& log_;
+    std::atomic<Stage> stage_{Stage::made};
+    protocol::Pool pool_{kBuffers};
+    Inbox inbox_;
+    net::Door door_;
+    net::Prober prober_;
+    net::DiscoveryWatch watch_;
+    Core core_;
+};
+
+}  // namespace micaroad
--- /dev/null
+++ b/src/planner/start_file.cpp
@@ -0,0 +1,81 @@
+#include "planner/start_file.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace micaroad {
+namespace {
+
+using nlohmann::json;
+
+const json& member(const json& object, const char* key) {
+    const auto found = object.find(key);
+    if (found == object.end() || found->is_null()) throw BadStart(std::string("the start file lacks '") + key + "'");
+    return *found;
+}
+
+// The variable where it is set, else the file's key.
+std::string text_from(const Environment& environment, const char* variable, const json& file, const char* key) {
+    if (const char* value = environment(variable); value && *value) return value;
+    const json& found = member(file, key);
+    if (!found.is_string()) throw BadStart(std::string("'") + key + "' is no text");
+    return found.get<std::string>();
+}
+
+std::uint64_t seed_from(const json& file) {
+    const json& seed = member(file, "seed");
+    if (seed.is_number_unsigned()) return seed.get<std::uint64_t>();
+    const std::string text = seed.is_string() ? seed.get<std::string>() : "";
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
+        throw BadStart("'seed' is no hexadecimal number");
+    }
+    return value;
+}
+
+}  // namespace
+
+StartFile read_start_text(const std::string& text, const Environment& environment) {
+    const json file = json::parse(text, nullptr, false);
+    if (!file.is_object()) throw BadStart("the start file holds no JSON object");
+    StartFile start;
+    start.name = text_from(environment, "LB_NAME", file, "name");
+    start.listen = text_from(environment, "LB_LISTEN", file, "listen");
+    start.discovery = text_from(environment, "LB_DISCOVERY", file, "discovery");
+    start.seed = seed_from(file);
+    const json& profile = member(file, "settings");
+    try {
+        start.terms = terms_of(profile);
+        start.names = names_of(profile);
+    } catch (const json::exception& bad) {
+        throw BadStart(std::string("'settings' can't be used: ") + bad.what());
+    }
+    if (start.terms.methods.empty()) throw BadStart("'settings' names no method");
+    if (start.names.zones.empty()) throw BadStart("'settings' names no zone");
+    if (start.terms.proxies < 1) throw BadStart("'settings' allows no proxy");
+    try {
+        start.sockets = member(member(file, "limits"), "sockets").get<std::size_t>();
+    } catch (const json::exception&) {
+        throw BadStart("'limits.sockets' is no number");
+    }
+    auto known = protocol::ListReader(start.names).read(member(file, "known").dump());
+    if (!known) throw BadStart("'known' is no list of servers");
+    start.known = std::move(*known);
+    start.known.list.form = event::List::Form::complete;
+    return start;
+}
+
+StartFile read_start_file(const Environment& environment) {
+    const char* path = environment("LB_CONFIG");
+    if (!path || !*path) throw BadStart("LB_CONFIG is not set");
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file || text.str().empty()) throw BadStart(std::string("LB_CONFIG: ") + path + " can't be read");
+    return read_start_text(text.str(), environment);
+}
+
+}  // namespace micaroad
--- /dev/null
+++ b/src/protocol/line_reader.hpp
@@ -0,0 +1,55 @@
+// Bytes in any pieces to lines. Knows no socket; what is held of an unfinished line stands in buffers of a pool.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "protocol/pool.hpp"
+
+namespace micaroad::protocol {
+
+enum class LineFault { none, too_long, no_carriage_return, nul_byte, no_buffer, refused };
+const char* text_of(LineFault fault);
+
+class LineReader {
+   public:
+    static constexpr std::size_t kLongest = 1024 * 1024;  // CRLF included
+
+    explicit LineReader(Pool& pool) : pool_(pool) {}
+
+    // Calls line(std::string_view), without its CRLF, for each that is complete, until one gives false. After a
+    // fault the stream can't be read any further.
+    template <class Line>
+    LineFault feed(std::string_view bytes, Line line) {
+        while (!bytes.empty()) {
+            const std::size_t end = bytes.find('\n');
+            const std::string_view piece = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
+            bytes.remove_prefix(piece.size());
+            if (held_.size() + piece.size() > kLongest) return LineFault::too_long;
+            if (piece.find('\0') != std::string_view::npos) return LineFault::nul_byte;
+            if (end == std::string_view::npos) {
+                if (!held_.append(pool_, piece)) return LineFault::no_buffer;
+                break;
+            }
+            std::string whole;
+            std::string_view view = piece;
+            if (!held_.empty()) {
+                whole.reserve(held_.size() + piece.size());
+                held_.each_piece([&whole](std::string_view part) { return whole.append(part), true; });
+                held_.clear();
+                view = whole.append(piece);
+            }
+            if (!view.ends_with("\r\n")) return LineFault::no_carriage_return;
+            view.remove_suffix(2);
+            if (!line(view)) return LineFault::refused;
+        }
+        return LineFault::none;
+    }
+    bool in_mid_line() const { return !held_.empty(); }
+
+   private:
+    Pool& pool_;
+    Chain held_;
+};
+
+}  // namespace micaroad::protocol
--- /dev/null
+++ b/src/protocol/push_writer.cpp
@@ -0,0 +1,110 @@
+#include "protocol/push_writer.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace micaroad::protocol {
+namespace {
+
+constexpr std::size_t kMostParts = 64;
+
+// Shortest text that reads back alike, never with an exponent.
+std::string figure(double value) {
+    char text[400];
+    const auto end = std::to_chars(text, text + sizeof text, value, std::chars_format::fixed).ptr;
+    return {text, end};
+}
+
+std::string routes_of(const std::set<MethodId>& methods, const Names& names) {
+    std::string routes;
+    for (const MethodId method : methods) {
+        routes += (routes.empty() ? "" : "+") + names.methods.at(static_cast<std::size_t>(method.value));
+    }
+    return routes;
+}
+
+// Parts of a message. A list too long for one goes on in the next, which repeats what it belongs to.
+class Parts {
+   public:
+    explicit Parts(std::size_t longest) : room_(longest - kTail.size() - 2) {}
+
+    void open(std::string lead) {
+        lead_ = std::move(lead);
+        parts_.push_back("push" + lead_);
+    }
+    void word(const std::string& text) {
+        if (parts_.back().size() + 1 + text.size() > room_) go_on();
+        parts_.back() += ' ' + text;
+    }
+    // One more member of the list `name`.
+    void member(const char* name, const std::string& text) {
+        const std::string start = fmt::format(" {}=", name);
+        if (list_ != name || parts_.size() != list_part_) {
+            if (parts_.back().size() + start.size() + text.size() > room_) go_on();
+            parts_.back() += start + text;
+        } else if (parts_.back().size() + 1 + text.size() > room_) {
+            go_on();
+            parts_.back() += start + text;
+        } else {
+            parts_.back() += ',' + text;
+        }
+        list_ = name, list_part_ = parts_.size();
+    }
+    bool none() const { return parts_.empty(); }
+    std::optional<std::string> message() const {
+        if (parts_.size() > kMostParts) return std::nullopt;
+        std::string all;
+        for (std::size_t i = 0; i < parts_.size(); ++i) {
+            (all += parts_[i]) += i + 1 < parts_.size() ? kTail : "";
+            all += "\r\n";
+        }
+        return all;
+    }
+
+   private:
+    static constexpr std::string_view kTail = " continued=1";
+    void go_on() {
+        if (const auto full = lead_.find(" full=1"); full != std::string::npos) lead_.erase(full, 7);
+        open(lead_);
+    }
+
+    const std::size_t room_;
+    std::vector<std::string> parts_;
+    std::string lead_, list_;
+    std::size_t list_part_ = 0;
+};
+
+}  // namespace
+
+std::optional<std::string> write_push(const Letter& letter, const Names& names, std::size_t longest) {
+    Parts parts(longest);
+    std::map<Letter::Level, std::set<MethodId>> levels;
+    for (const auto& [method, level] : letter.levels) levels[level].insert(method);
+    const auto write_level = [&parts](const Letter::Level& level) {
+        parts.word(fmt::format("admit={} policy={}", figure(level.amount), static_cast<int>(level.further_tries)));
+    };
+    for (const Letter::Table& table : letter.tables) {
+        parts.open(fmt::format(" routes={}{}", routes_of(table.methods, names), table.full ? " full=1" : ""));
+        for (const auto& [server, weight] : table.lines) {
+            parts.member("endpoints", fmt::format("{}:{}", server.value, figure(weight)));
+        }
+    }
+    for (const auto& [level, methods] : levels) {
+        // A table's own part takes the level along where it is meant for just its methods.
+        if (letter.tables.size() != 1 || letter.tables.front().methods != methods) {
+            parts.open(" routes=" + routes_of(methods, names));
+        }
+        write_level(level);
+    }
+    if (parts.none()) parts.open("");
+    for (const bool out : {true, false}) {
+        for (const auto& [server, is_out] : letter.shut) {
+            if (is_out == out) parts.member(out ? "eject" : "restore", server.value);
+        }
+    }
+    if (letter.mark) parts.word(fmt::format("nonce_out={}", letter.mark->value));
+    return parts.message();
+}
+
+}  // namespace micaroad::protocol
