--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# What staff do most. CONFIG is a start file, as README.md shows one.
+CONFIG ?= docs/example-start.json
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'include/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
+
+.PHONY: all build test asan tsan lint run clean
+all: build
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j4
+
+test:
+	cmake -B build/test -DCMAKE_BUILD_TYPE=Release -DMICAROAD_TESTS=ON -DMICAROAD_WERROR=ON
+	cmake --build build/test -j4
+	ctest --test-dir build/test --output-on-failure
+
+# AddressSanitizer with UndefinedBehaviorSanitizer, then ThreadSanitizer.
+asan:
+	cmake -B build/asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DMICAROAD_TESTS=ON -DMICAROAD_SANITIZE=address,undefined
+	cmake --build build/asan -j4
+	UBSAN_OPTIONS=halt_on_error=1 ctest --test-dir build/asan --output-on-failure
+
+tsan:
+	cmake -B build/tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DMICAROAD_TESTS=ON -DMICAROAD_SANITIZE=thread
+	cmake --build build/tsan -j4
+	ctest --test-dir build/tsan --output-on-failure
+
+# Needs cppcheck.
+lint:
+	cppcheck --std=c++20 --language=c++ --quiet --inline-suppr --error-exitcode=1 -Iinclude -Isrc \
+	    --enable=warning,performance,portability --suppress=missingIncludeSystem src
+
+run: build
+	LB_CONFIG=$(CONFIG) build/micaroad
+
+clean:
+	rm -rf build
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -18,9 +18,9 @@
 }
 
 std::string Connection::read_to_end(Crew& crew) {
-    protocol::Pool::Lease buffer = house_.pool.take();
+    protocol::Pool::Lease buffer = house_.reading.take();
     if (!buffer) return "no buffer left";
-    protocol::LineReader lines(house_.pool);
+    protocol::LineReader lines(house_.reading);
     std::string why;
     socket_.set_up(kKernelSend, kKernelReceive);
     socket_.wait_at_most(kStrangerPatience);
@@ -54,7 +54,8 @@
 
 bool Connection::take(const protocol::AliveAsked&, Crew&, std::string& why) {
     why = "it does not read";
-    return role_ == Role::stream ? post(protocol::kAlive) : socket_.send_now(protocol::kAlive);
+    return role_ == Role::stream ? post(protocol::kAlive) == Posted::yes
+                                  : socket_.send_now(protocol::kAlive);
 }
 
 bool Connection::take(const protocol::CollectorNamed& named, Crew&, std::string& why) {
@@ -99,20 +100,27 @@
     return true;
 }
 
-bool Connection::post(std::string_view message) {
+Connection::Posted Connection::post(std::string_view message) {
     {
         const std::lock_guard lock(mutex_);
-        if (closing_) return true;  // its end is on the way
-        if (unread_.size() + message.size() > kMostUnread || !unread_.append(house_.pool, message)) return false;
+        if (closing_) return Posted::yes;  // its end is on the way
+        if (unread_.size() > kMostUnread) return Posted::not_read;
+        if (!unread_.append(house_.writing, message)) return Posted::no_buffer;
     }
     wake_.notify_one();
-    return true;
+    return Posted::yes;
+}
+
+std::size_t Connection::unread() {
+    const std::lock_guard lock(mutex_);
+    return unread_.size();
 }
 
 void Connection::close() {
     {
         const std::lock_guard lock(mutex_);
         closing_ = true;
+        unread_.clear();  // at once: others may need the room
     }
     wake_.notify_one();
     socket_.shut_down();
@@ -123,11 +131,9 @@
     for (;;) {
         wake_.wait(lock, [this] { return closing_ || !unread_.empty(); });
         if (closing_) return;
-        const protocol::Chain now = std::exchange(unread_, {});
+        const protocol::Chain::Piece piece = unread_.take_front();
         lock.unlock();
-        if (!now.each_piece([this](std::string_view piece) { return socket_.send_all(piece); })) {
-            socket_.shut_down();  // the reader sees its end
-        }
+        if (!socket_.send_all(piece.view())) socket_.shut_down();  // the reader sees its end
         lock.lock();
     }
 }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -24,7 +24,8 @@
 struct House {
     const Names& names;
     const int proxies;
-    protocol::Pool& pool;
+    protocol::Pool& reading;
+    protocol::Pool& writing;  // not the readers': who doesn't read is not to keep others from being heard
     Inbox& inbox;
     Log& log;
 };
@@ -34,15 +35,17 @@
     // Strangers that say nothing are ended after this long; so is a collector, which reports twice a second and
     // dials again at no cost. A stream isn't: its proxy would lose it by our doing.
     static constexpr std::chrono::seconds kStrangerPatience{10}, kCollectorPatience{60};
-    // Unread orders past this: the proxy has stopped reading.
-    static constexpr std::size_t kMostUnread = 2 * 1024 * 1024;
+    // Orders on top of as many unread bytes: the proxy has stopped reading.
+    static constexpr std::size_t kMostUnread = 512 * 1024;
     static constexpr int kKernelSend = 64 * 1024, kKernelReceive = 16 * 1024;  // the kernel takes twice as much
 
     Connection(House& house, StreamId id, Socket socket, std::string peer);
 
     void read(Crew& crew);               // until the end; run by a thread of its own
-    bool post(std::string_view message);  // any thread, never waits; false: it can't be kept up with
-    void close();                         // any thread
+    enum class Posted { yes, not_read, no_buffer };
+    Posted post(std::string_view message);  // any thread, never waits
+    std::size_t unread();
+    void close();                           // any thread
     Role role() const { return role_; }
     StreamId id() const { return id_; }
 
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -93,12 +93,31 @@
 }
 
 void Door::write(StreamId stream, std::string_view message) {
+    using Posted = Connection::Posted;
     const auto connection = find(stream);
-    if (!connection || connection->post(message)) return;
-    house_.log.warn("a stream is ended: its proxy does not read");
+    if (!connection) return;
+    Posted posted = connection->post(message);
+    while (posted == Posted::no_buffer && shed_unread()) posted = connection->post(message);
+    if (posted == Posted::yes) return;
+    house_.log.warn("stream {} is ended: {}", stream.value,
+                    posted == Posted::not_read ? "its proxy does not read" : "no buffer is left for its orders");
     connection->close();
 }
 
+// Who has left most unread goes before anyone who reads. False if nobody has left any.
+bool Door::shed_unread() {
+    const std::lock_guard lock(mutex_);
+    std::shared_ptr<Connection> worst;
+    std::size_t most = 0;
+    for (const auto& [id, connection] : connections_) {
+        if (const std::size_t unread = connection->unread(); unread > most) most = unread, worst = connection;
+    }
+    if (!worst) return false;
+    house_.log.warn("stream {} is ended: its proxy has left {} bytes unread", worst->id().value, most);
+    worst->close();
+    return true;
+}
+
 void Door::close(StreamId stream) {
     if (const auto connection = find(stream)) connection->close();
 }
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -28,6 +28,7 @@
     void accept_on();
     void take(Socket socket, const Address& from);
     bool shed_stranger();
+    bool shed_unread();
     std::shared_ptr<Connection> find(StreamId stream);
 
     House house_;
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -31,11 +31,11 @@
       clock_(std::move(clock)),
       log_(log),
       inbox_(clock_),
-      door_({start_.names, start_.terms.proxies, pool_, inbox_, log_},
+      door_({start_.names, start_.terms.proxies, reading_, writing_, inbox_, log_},
             std::min(kMostConnections, std::max(start_.sockets, kSocketsKept + 16) - kSocketsKept)),
-      prober_(pool_, inbox_, clock_),
+      prober_(reading_, inbox_, clock_),
       watch_(start_.discovery, address_or_throw(start_.discovery, "discovery"), start_.names, start_.known.version,
-             pool_, inbox_, log_),
+             reading_, inbox_, log_),
       core_(start_.terms, start_.names, start_.seed, *this, log_) {
     address_or_throw(start_.listen, "listen");
 }
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -32,7 +32,7 @@
     // What is not for connections: discovery, probes, the listener, files.
     static constexpr std::size_t kSocketsKept = 64;
     static constexpr std::size_t kMostConnections = 400;  // two threads each; docs/architecture.md has the sum
-    static constexpr std::size_t kBuffers = 2'048;        // of 16 KiB
+    static constexpr std::size_t kBuffers = 640;          // of 16 KiB, in each pool: one for each reader, and some
 
     void write(StreamId stream, std::string_view message) override { door_.write(stream, message); }
     void close(StreamId stream) override { door_.close(stream); }
@@ -46,7 +46,7 @@
     const Clock clock_;
     Log& log_;
     std::atomic<Stage> stage_{Stage::made};
-    protocol::Pool pool_{kBuffers};
+    protocol::Pool reading_{kBuffers}, writing_{kBuffers};
     Inbox inbox_;
     net::Door door_;
     net::Prober prober_;
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -34,14 +34,13 @@
             std::string whole;
             std::string_view view = piece;
             if (!held_.empty()) {
-                whole.reserve(held_.size() + piece.size());
-                held_.each_piece([&whole](std::string_view part) { return whole.append(part), true; });
-                held_.clear();
+                whole = held_.text();
                 view = whole.append(piece);
             }
             if (!view.ends_with("\r\n")) return LineFault::no_carriage_return;
             view.remove_suffix(2);
             if (!line(view)) return LineFault::refused;
+            held_.clear();  // not before: so all copies together are no larger than the pool
         }
         return LineFault::none;
     }
--- a/src/protocol/pool.hpp
+++ b/src/protocol/pool.hpp
@@ -3,9 +3,12 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace micaroad::protocol {
@@ -52,39 +55,48 @@
 // Bytes in a row of such buffers.
 class Chain {
    public:
+    struct Piece {
+        Pool::Lease block;
+        std::size_t size = 0;
+        std::string_view view() const { return {block->data(), size}; }
+    };
+
     // False, with nothing appended, when the pool has too few buffers left.
     bool append(Pool& pool, std::string_view bytes) {
         std::vector<Pool::Lease> more;
-        const std::size_t room = blocks_.size() * Pool::kBlock - size_;
+        const std::size_t room = pieces_.empty() ? 0 : Pool::kBlock - pieces_.back().size;
         for (std::size_t got = room; got < bytes.size(); got += Pool::kBlock) {
             more.push_back(pool.take());
             if (!more.back()) return false;
         }
-        for (auto& lease : more) blocks_.push_back(std::move(lease));
-        while (!bytes.empty()) {
-            const std::size_t at = size_ % Pool::kBlock;
-            const std::size_t part = std::min(bytes.size(), Pool::kBlock - at);
-            bytes.copy(blocks_[size_ / Pool::kBlock]->data() + at, part);
+        size_ += bytes.size();
+        const auto fill = [&bytes](Piece& piece) {
+            const std::size_t part = bytes.copy(piece.block->data() + piece.size, Pool::kBlock - piece.size);
+            piece.size += part;
             bytes.remove_prefix(part);
-            size_ += part;
-        }
+        };
+        if (room > 0) fill(pieces_.back());
+        for (auto& lease : more) fill(pieces_.emplace_back(Piece{std::move(lease), 0}));
         return true;
     }
+    Piece take_front() {  // there must be one
+        Piece piece = std::move(pieces_.front());
+        pieces_.pop_front();
+        size_ -= piece.size;
+        return piece;
+    }
+    std::string text() const {
+        std::string text;
+        text.reserve(size_);
+        for (const Piece& piece : pieces_) text += piece.view();
+        return text;
+    }
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
-    void clear() { blocks_.clear(), size_ = 0; }
-
-    template <class Use>  // calls use(std::string_view) for each piece, until one gives false
-    bool each_piece(Use use) const {
-        for (std::size_t from = 0; from < size_; from += Pool::kBlock) {
-            const char* data = blocks_[from / Pool::kBlock]->data();
-            if (!use(std::string_view(data, std::min(Pool::kBlock, size_ - from)))) return false;
-        }
-        return true;
-    }
+    void clear() { pieces_.clear(), size_ = 0; }
 
    private:
-    std::vector<Pool::Lease> blocks_;
+    std::deque<Piece> pieces_;
     std::size_t size_ = 0;
 };
 
--- a/src/protocol/server_list.hpp
+++ b/src/protocol/server_list.hpp
@@ -34,7 +34,7 @@
 // The lines of a watch's body, bounded.
 class ObjectLines {
    public:
-    static constexpr std::size_t kLongest = 8 * 1024 * 1024;
+    static constexpr std::size_t kLongest = 4 * 1024 * 1024;
 
     // Calls line(std::string_view) for each, empty ones too. False once a line is too long.
     template <class Line>
