--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,10 @@
 	cmake --build build/tsan -j4
 	ctest --test-dir build/tsan --output-on-failure
 
-# Needs cppcheck.
+# Needs cppcheck and clang-format.
 lint:
+	clang-format --dry-run -Werror $(filter-out src/balance.cpp src/notes.hpp src/figures.hpp src/simhost/%,\
+	    $(filter src/%,$(SOURCES)))
 	cppcheck --std=c++20 --language=c++ --quiet --inline-suppr --error-exitcode=1 -Iinclude -Isrc \
 	    --enable=warning,performance,portability --suppress=missingIncludeSystem src
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -28,8 +28,9 @@
     const auto now = std::chrono::steady_clock::now();
     Alike& alike = alike_[form.data()];
     if (now - alike.since >= kAlikeSpan) {
-        if (alike.swallowed > 0) put("info", fmt::format("{} more like the next in {:.0f} s", alike.swallowed,
-                                                         std::chrono::duration<double>(now - alike.since).count()));
+        if (alike.swallowed > 0)
+            put("info", fmt::format("{} more like the next in {:.0f} s", alike.swallowed,
+                                    std::chrono::duration<double>(now - alike.since).count()));
         alike = {now, 0, 0};
     }
     if (++alike.said > kMostAlike) return (void)++alike.swallowed;
@@ -38,10 +39,12 @@
 
 void Log::put(const char* level, std::string text) {
     if (waiting_.size() == kMostWaiting) return (void)++lost_;
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const auto now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const auto ms = now.time_since_epoch().count() % 1000;
     const std::time_t second = std::chrono::system_clock::to_time_t(now);
-    waiting_.push_back(fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}\n", fmt::gmtime(second), ms, level, text));
+    waiting_.push_back(
+        fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}\n", fmt::gmtime(second), ms, level, text));
     wake_.notify_one();
 }
 
@@ -69,7 +72,8 @@
         wake_.wait(lock, [this] { return ending_ || !waiting_.empty(); });
         std::string text;
         for (const std::string& line : std::exchange(waiting_, {})) text += line;
-        if (lost_ > 0) text += fmt::format("{} log lines lost: the output was too slow\n", std::exchange(lost_, 0));
+        if (lost_ > 0)
+            text += fmt::format("{} log lines lost: the output was too slow\n", std::exchange(lost_, 0));
         lock.unlock();
         const bool all = write_out(text);
         lock.lock();
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,5 +1,5 @@
-// Log lines to a file descriptor. Writing one never blocks its writer: a thread of the log's own does the output, and
-// what doesn't fit is counted. A line that comes too often is said a few times, then summed up.
+// Log lines to a file descriptor. Writing one never blocks its writer: a thread of the log's own does the
+// output, and what doesn't fit is counted. A line that comes too often is said a few times, then summed up.
 #pragma once
 
 #include <fmt/format.h>
@@ -16,7 +16,7 @@
 namespace micaroad {
 
 class Log {
-   public:
+ public:
     explicit Log(int fd);
     ~Log();  // what was said is written first
     Log(const Log&) = delete;
@@ -35,7 +35,7 @@
         say("error", fmt::string_view(form), fmt::make_format_args(args...));
     }
 
-   private:
+ private:
     static constexpr std::size_t kMostWaiting = 1000;  // lines
     static constexpr int kMostAlike = 100;             // in a span, of one form
     static constexpr std::chrono::seconds kAlikeSpan{10};
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -7,14 +7,21 @@
 using std::chrono::steady_clock;
 
 Connection::Connection(House& house, StreamId id, Socket socket, std::string peer)
-    : house_(house), id_(id), socket_(std::move(socket)), peer_(std::move(peer)), heard_(steady_clock::now()) {}
+    : house_(house),
+      id_(id),
+      socket_(std::move(socket)),
+      peer_(std::move(peer)),
+      heard_(steady_clock::now()) {}
 
 void Connection::read(Crew& crew) {
     const std::string why = read_to_end(crew);
     close();
-    if (role_ == Role::stream) house_.inbox.put(arrival::StreamEnded{id_, why});
-    else if (role_ == Role::collector) house_.log.info("collector {}: ended, {}", peer_, why);
-    else house_.log.info("stranger {}: ended, {}", peer_, why);
+    if (role_ == Role::stream)
+        house_.inbox.put(arrival::StreamEnded{id_, why});
+    else if (role_ == Role::collector)
+        house_.log.info("collector {}: ended, {}", peer_, why);
+    else
+        house_.log.info("stranger {}: ended, {}", peer_, why);
 }
 
 std::string Connection::read_to_end(Crew& crew) {
@@ -49,13 +56,13 @@
         return false;
     }
     heard_ = steady_clock::now();
-    return std::visit([&](const auto& said) { return take(said, crew, why); }, std::get<protocol::Message>(read));
+    return std::visit([&](const auto& said) { return take(said, crew, why); },
+                      std::get<protocol::Message>(read));
 }
 
 bool Connection::take(const protocol::AliveAsked&, Crew&, std::string& why) {
     why = "it does not read";
-    return role_ == Role::stream ? post(protocol::kAlive) == Posted::yes
-                                  : socket_.send_now(protocol::kAlive);
+    return role_ == Role::stream ? post(protocol::kAlive) == Posted::yes : socket_.send_now(protocol::kAlive);
 }
 
 bool Connection::take(const protocol::CollectorNamed& named, Crew&, std::string& why) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -1,12 +1,13 @@
-// One connection that was taken: a reader that turns its bytes into arrivals, and a writer once it is a stream.
+// One connection that was taken: a reader that turns its bytes into arrivals, and a writer once it is a
+// stream.
 #pragma once
 
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <string>
-#include <memory>
 #include <string_view>
 
 #include "log/log.hpp"
@@ -31,25 +32,26 @@
 };
 
 class Connection : public std::enable_shared_from_this<Connection> {
-   public:
-    // Strangers that say nothing are ended after this long; so is a collector, which reports twice a second and
-    // dials again at no cost. A stream isn't: its proxy would lose it by our doing.
+ public:
+    // Strangers that say nothing are ended after this long; so is a collector, which reports twice a second
+    // and dials again at no cost. A stream isn't: its proxy would lose it by our doing.
     static constexpr std::chrono::seconds kStrangerPatience{10}, kCollectorPatience{60};
     // Orders on top of as many unread bytes: the proxy has stopped reading.
     static constexpr std::size_t kMostUnread = 512 * 1024;
-    static constexpr int kKernelSend = 64 * 1024, kKernelReceive = 16 * 1024;  // the kernel takes twice as much
+    static constexpr int kKernelSend = 64 * 1024,
+                         kKernelReceive = 16 * 1024;  // the kernel takes twice as much
 
     Connection(House& house, StreamId id, Socket socket, std::string peer);
 
-    void read(Crew& crew);               // until the end; run by a thread of its own
+    void read(Crew& crew);  // until the end; run by a thread of its own
     enum class Posted { yes, not_read, no_buffer };
     Posted post(std::string_view message);  // any thread, never waits
     std::size_t unread();
-    void close();                           // any thread
+    void close();  // any thread
     Role role() const { return role_; }
     StreamId id() const { return id_; }
 
-   private:
+ private:
     std::string read_to_end(Crew& crew);  // why it ended
     bool take(std::string_view line, Crew& crew, std::string& why);
     bool take(const protocol::AliveAsked&, Crew& crew, std::string& why);
--- a/src/net/crew.hpp
+++ b/src/net/crew.hpp
@@ -8,7 +8,7 @@
 namespace micaroad::net {
 
 class Crew {
-   public:
+ public:
     static constexpr std::size_t kStack = 128 * 1024;
 
     explicit Crew(std::size_t most) : most_(most) {}
@@ -19,7 +19,7 @@
     bool start(std::function<void()> work);  // false if there is no room for one more
     void wait();                             // until all have ended
 
-   private:
+ private:
     struct Task;
     static void* run(void* task);
     void ended();
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -105,14 +105,17 @@
         if (got < 0) return "reset";
         if (got == 0 && !http.end()) return "its end";
         bool fits = true, readable = true;
-        const bool sound = http.feed({buffer->data(), static_cast<std::size_t>(got)}, [&](std::string_view body) {
-            if (http.status() != 200) return;
-            fits = fits && lines.feed(body, [&](std::string_view line) {
-                last_line = steady_clock::now();
-                if (line.empty()) heard = true;
-                else if (readable) readable = take(line), heard |= readable;
+        const bool sound =
+            http.feed({buffer->data(), static_cast<std::size_t>(got)}, [&](std::string_view body) {
+                if (http.status() != 200) return;
+                fits = fits && lines.feed(body, [&](std::string_view line) {
+                    last_line = steady_clock::now();
+                    if (line.empty())
+                        heard = true;
+                    else if (readable)
+                        readable = take(line), heard |= readable;
+                });
             });
-        });
         if (http.in_body() && http.status() != 200) return fmt::format("status {}", http.status());
         if (!sound) return "an answer that can't be read";
         if (!fits) return "a list that is too long";
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -7,7 +7,7 @@
 
 namespace micaroad::net {
 
-Door::Door(House house, std::size_t most_connections)
+Door::Door(const House& house, std::size_t most_connections)
     : house_(house), most_(most_connections), crew_(2 * most_connections + kThreadsToSpare) {}
 
 Door::~Door() { shut(); }
@@ -33,7 +33,8 @@
     for (;;) {
         Address from;
         from.length = sizeof from.storage;
-        Socket socket(::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from.storage), &from.length, SOCK_CLOEXEC));
+        Socket socket(::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from.storage), &from.length,
+                                SOCK_CLOEXEC));
         const int error = errno;
         {
             const std::lock_guard lock(mutex_);
@@ -45,7 +46,7 @@
             // The connection waits in the backlog; a stranger's end makes room for it.
             house_.log.warn("no connection can be taken: {}", std::strerror(error));
             shed_stranger();
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
         } else if (error == EINVAL || error == EBADF) {
             return;
         }
@@ -56,7 +57,8 @@
     std::unique_lock lock(mutex_);
     if (connections_.size() >= most_) {
         lock.unlock();
-        if (!shed_stranger()) return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
+        if (!shed_stranger())
+            return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
         lock.lock();
     }
     const StreamId id{next_++};
@@ -99,8 +101,9 @@
     Posted posted = connection->post(message);
     while (posted == Posted::no_buffer && shed_unread()) posted = connection->post(message);
     if (posted == Posted::yes) return;
-    house_.log.warn("stream {} is ended: {}", stream.value,
-                    posted == Posted::not_read ? "its proxy does not read" : "no buffer is left for its orders");
+    house_.log.warn(
+        "stream {} is ended: {}", stream.value,
+        posted == Posted::not_read ? "its proxy does not read" : "no buffer is left for its orders");
     connection->close();
 }
 
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -10,9 +10,9 @@
 namespace micaroad::net {
 
 class Door {
-   public:
+ public:
     // Connections at a time. Past it the oldest stranger goes; where there is none, the newcomer.
-    Door(House house, std::size_t most_connections);
+    Door(const House& house, std::size_t most_connections);
     ~Door();
 
     bool open(const Address& address, std::string& why);
@@ -21,7 +21,7 @@
     void write(StreamId stream, std::string_view message);
     void close(StreamId stream);
 
-   private:
+ private:
     // The acceptor, and those of strangers that were shed and are not gone yet.
     static constexpr std::size_t kThreadsToSpare = 32;
 
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -41,7 +41,8 @@
         while (!http.in_body() && std::chrono::steady_clock::now() < until) {
             const ssize_t got = socket.receive(buffer->data(), buffer->size());
             if (got <= 0) return false;
-            if (!http.feed({buffer->data(), static_cast<std::size_t>(got)}, [](std::string_view) {})) return false;
+            if (!http.feed({buffer->data(), static_cast<std::size_t>(got)}, [](std::string_view) {}))
+                return false;
         }
         return http.in_body() && http.status() == 200;
     }();
--- a/src/net/prober.hpp
+++ b/src/net/prober.hpp
@@ -14,8 +14,8 @@
 namespace micaroad::net {
 
 class Prober {
-   public:
-    static constexpr std::size_t kMost = 16;                      // at a time; one more counts as not answered
+ public:
+    static constexpr std::size_t kMost = 16;  // at a time; one more counts as not answered
     static constexpr std::chrono::milliseconds kPatience{1'000};  // for the connection, then for the answer
 
     Prober(protocol::Pool& pool, Inbox& inbox, Clock clock)
@@ -25,7 +25,7 @@
     void ask(const ServerId& server, const std::string& address);
     void stop();
 
-   private:
+ private:
     bool answers(const Address& address, const std::string& host);
 
     protocol::Pool& pool_;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -20,7 +20,7 @@
 std::string text_of(const Address& address);
 
 class Socket {
-   public:
+ public:
     Socket() = default;
     explicit Socket(int fd) : fd_(fd) {}
     Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
@@ -47,7 +47,7 @@
     bool send_now(std::string_view bytes) const;  // false if that would wait
     void shut_down() const;                       // any thread: whoever waits on it is woken
 
-   private:
+ private:
     int fd_ = -1;
 };
 
--- a/src/outbox/letter.hpp
+++ b/src/outbox/letter.hpp
@@ -13,7 +13,7 @@
 struct Letter {
     struct Table {
         std::set<MethodId> methods;
-        bool full = false;               // the lines are all of it, and levels are forgotten
+        bool full = false;                 // the lines are all of it, and levels are forgotten
         std::map<ServerId, double> lines;  // 0: take it out
     };
     struct Level {
--- a/src/outbox/outbox.cpp
+++ b/src/outbox/outbox.cpp
@@ -11,8 +11,10 @@
     for (const ListedServer& server : list.servers) {
         named.insert(server.server);
         const bool steady = server.phase == Phase::ready && !server.last_start;
-        if (!steady) steady_.erase(server.server);
-        else if (!heard_any_) steady_.insert(server.server);
+        if (!steady)
+            steady_.erase(server.server);
+        else if (!heard_any_)
+            steady_.insert(server.server);
     }
     if (list.form == event::List::Form::complete) {
         std::erase_if(steady_, [&named](const ServerId& server) { return !named.contains(server); });
@@ -25,7 +27,8 @@
     proxies_[proxy].here = true;
 }
 
-// What it may not have got is taken for shut out, so that it is let back with its next line; the rest it keeps.
+// What it may not have got is taken for shut out, so that it is let back with its next line; the rest it
+// keeps.
 void Outbox::left(ProxyId number) {
     const auto at = proxies_.find(number);
     if (at == proxies_.end()) return;
@@ -46,8 +49,9 @@
     for (bool last = false; !last; unanswered.pop_front()) {
         last = is_it(unanswered.front());
         for (const ServerId& server : unanswered.front().second) {
-            const bool again = std::any_of(std::next(unanswered.begin()), unanswered.end(),
-                                           [&server](const auto& later) { return later.second.contains(server); });
+            const bool again =
+                std::any_of(std::next(unanswered.begin()), unanswered.end(),
+                            [&server](const auto& later) { return later.second.contains(server); });
             if (!again) told[server].sure = true;
         }
     }
@@ -164,7 +168,8 @@
 Letter::Table& Outbox::table_in(Letter& letter, const Proxy& proxy, TableId table) {
     const std::set<MethodId> methods = methods_at(proxy, table);
     for (Letter::Table& part : letter.tables) {
-        if (std::includes(methods.begin(), methods.end(), part.methods.begin(), part.methods.end())) return part;
+        if (std::includes(methods.begin(), methods.end(), part.methods.begin(), part.methods.end()))
+            return part;
     }
     return letter.tables.emplace_back(Letter::Table{methods, false, {}});
 }
--- a/src/outbox/outbox.hpp
+++ b/src/outbox/outbox.hpp
@@ -1,5 +1,5 @@
-// The module's orders to one letter a proxy. It remembers what was ordered and what each proxy holds of it, and
-// decides nothing: what an order means is WIRE's.
+// The module's orders to one letter a proxy. It remembers what was ordered and what each proxy holds of it,
+// and decides nothing: what an order means is WIRE's.
 #pragma once
 
 #include <deque>
@@ -13,7 +13,7 @@
 namespace micaroad {
 
 class Outbox {
-   public:
+ public:
     explicit Outbox(std::size_t methods) : methods_(methods) {}
 
     void heard(const event::List& list);
@@ -27,15 +27,15 @@
     // Orders that need slices or peers; there are no words for them yet.
     static bool served(const Order& order);
 
-   private:
+ private:
     static constexpr std::size_t kMostUnanswered = 256;  // a proxy; what an older one said stays unsure
     using Levels = std::map<MethodId, Letter::Level>;
     struct Table {
         std::map<ServerId, double> lines;
         Levels levels;
     };
-    // A proxy keeps what it was told to shut out across streams and planners. What this one has not said there is
-    // not known, but for servers nobody has had a reason to shut out: those it has found steady.
+    // A proxy keeps what it was told to shut out across streams and planners. What this one has not said
+    // there is not known, but for servers nobody has had a reason to shut out: those it has found steady.
     struct Told {
         bool out = false;
         bool sure = false;  // it has answered a mark since
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -38,9 +38,11 @@
         if (stream == streams_.end()) continue;
         ++lag_.letters, lag_.lines += static_cast<std::int64_t>(letter.channel_lines());
         const auto message = protocol::write_push(letter, names_);
-        if (message) outlet_.write(stream->second, *message);
-        else log_.error("proxy {}: an order of {} lines is too large for one message", letter.proxy.value,
-                        letter.channel_lines());
+        if (message)
+            outlet_.write(stream->second, *message);
+        else
+            log_.error("proxy {}: an order of {} lines is too large for one message", letter.proxy.value,
+                       letter.channel_lines());
     }
 }
 
@@ -107,8 +109,10 @@
     }
     if (complete) held_.clear();
     for (const ListedServer& server : list.servers) {
-        if (server.phase == Phase::gone) held_.erase(server.server);
-        else held_[server.server] = {server, addresses[server.server]};
+        if (server.phase == Phase::gone)
+            held_.erase(server.server);
+        else
+            held_[server.server] = {server, addresses[server.server]};
         if (!complete) log_.info("server {} is {}", server.server.value, name_of(server.phase));
     }
     log_.info("discovery: version {}, {} of {} servers{}", version, list.servers.size(), held_.size(),
@@ -141,7 +145,8 @@
     } else if (const auto* line = std::get_if<order::LogLine>(&order)) {
         log_.info("module: {}", line->text);
     } else if (!Outbox::served(order) && unserved_.insert(order.index()).second) {
-        log_.warn("the module orders what this protocol has no words for (order {}): not served", order.index());
+        log_.warn("the module orders what this protocol has no words for (order {}): not served",
+                  order.index());
     }
 }
 
@@ -154,9 +159,10 @@
     if (done - lag_.since < kLagSaidEvery) return;
     if (lag_.since != Instant{}) {
         const double mean = lag_.number > 0 ? ms(lag_.sum) / static_cast<double>(lag_.number) : 0;
-        log_.info("from arrival to orders: mean {:.1f} ms, longest {:.1f} ms of {} arrivals; "
-                  "{} messages with {} lines; {} proxies joined",
-                  mean, ms(lag_.longest), lag_.number, lag_.letters, lag_.lines, streams_.size());
+        log_.info(
+            "from arrival to orders: mean {:.1f} ms, longest {:.1f} ms of {} arrivals; "
+            "{} messages with {} lines; {} proxies joined",
+            mean, ms(lag_.longest), lag_.number, lag_.letters, lag_.lines, streams_.size());
     }
     lag_ = {done, {}, {}, 0, 0, 0};
 }
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -15,7 +15,7 @@
 namespace micaroad {
 
 class Core {
-   public:
+ public:
     Core(Terms terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log);
 
     // Hears all of them and the timers that are due, decides once, and sends what was ordered.
@@ -25,7 +25,7 @@
     std::optional<Instant> next_due() const;
     bool stopping() const { return stopping_; }
 
-   private:
+ private:
     struct Held {
         ListedServer entry;
         std::string address;
@@ -49,7 +49,7 @@
     std::map<ProxyId, StreamId> streams_;
     std::map<StreamId, ProxyId> proxies_;
     std::map<ServerId, Held> held_;  // the list, without what is gone
-    std::set<ServerId> probed_;                  // an answer is awaited
+    std::set<ServerId> probed_;      // an answer is awaited
     std::int64_t version_ = -1;
     std::multimap<Instant, TimerId> timers_;
     std::set<std::size_t> unserved_;  // kinds of order that were logged as such
--- a/src/planner/inbox.hpp
+++ b/src/planner/inbox.hpp
@@ -15,9 +15,9 @@
 using Clock = std::function<Instant()>;
 
 class Inbox {
-   public:
-    // Reports over this many are dropped, the newest first; a core that far behind has no use for them. What else
-    // comes is bounded by the number of streams.
+ public:
+    // Reports over this many are dropped, the newest first; a core that far behind has no use for them. What
+    // else comes is bounded by the number of streams.
     static constexpr std::size_t kMostReports = 20'000;
     struct Item {
         Instant at;
@@ -40,8 +40,10 @@
     std::vector<Item> wait(std::optional<Instant> until) {
         std::unique_lock lock(mutex_);
         const auto any = [this] { return !items_.empty(); };
-        if (until) wake_.wait_for(lock, *until - clock_(), any);
-        else wake_.wait(lock, any);
+        if (until)
+            wake_.wait_for(lock, *until - clock_(), any);
+        else
+            wake_.wait(lock, any);
         reports_ = 0;
         return std::exchange(items_, {});
     }
@@ -50,7 +52,7 @@
         return std::exchange(dropped_, 0);
     }
 
-   private:
+ private:
     const Clock clock_;
     std::mutex mutex_;
     std::condition_variable wake_;
--- a/src/planner/main.cpp
+++ b/src/planner/main.cpp
@@ -17,7 +17,8 @@
     using std::chrono::steady_clock, std::chrono::system_clock;
     const auto epoch = std::chrono::duration_cast<micaroad::Span>(system_clock::now().time_since_epoch());
     return [epoch, begun = steady_clock::now()] {
-        return micaroad::Instant{epoch + std::chrono::duration_cast<micaroad::Span>(steady_clock::now() - begun)};
+        return micaroad::Instant{epoch +
+                                 std::chrono::duration_cast<micaroad::Span>(steady_clock::now() - begun)};
     };
 }
 
--- a/src/planner/ports.hpp
+++ b/src/planner/ports.hpp
@@ -39,12 +39,13 @@
 struct Stop {};
 }  // namespace arrival
 
-using Arrival = std::variant<arrival::StreamBegun, arrival::StreamAnswered, arrival::StreamEnded, arrival::Reported,
-                             arrival::ListTold, arrival::WatchLost, arrival::ProbeEnded, arrival::Stop>;
+using Arrival =
+    std::variant<arrival::StreamBegun, arrival::StreamAnswered, arrival::StreamEnded, arrival::Reported,
+                 arrival::ListTold, arrival::WatchLost, arrival::ProbeEnded, arrival::Stop>;
 
 // Where the core's words go. No call waits for a peer.
 class Outlet {
-   public:
+ public:
     virtual ~Outlet() = default;
     virtual void write(StreamId stream, std::string_view message) = 0;
     virtual void close(StreamId stream) = 0;
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -6,12 +6,18 @@
 
 const char* name_of(Stage stage) {
     switch (stage) {
-        case Stage::made: return "made";
-        case Stage::hearing_known: return "hearing the known list";
-        case Stage::serving: return "serving";
-        case Stage::ending: return "ending";
-        case Stage::ended: return "ended";
-        case Stage::failed: return "failed";
+        case Stage::made:
+            return "made";
+        case Stage::hearing_known:
+            return "hearing the known list";
+        case Stage::serving:
+            return "serving";
+        case Stage::ending:
+            return "ending";
+        case Stage::ended:
+            return "ended";
+        case Stage::failed:
+            return "failed";
     }
     return "?";
 }
@@ -34,8 +40,8 @@
       door_({start_.names, start_.terms.proxies, reading_, writing_, inbox_, log_},
             std::min(kMostConnections, std::max(start_.sockets, kSocketsKept + 16) - kSocketsKept)),
       prober_(reading_, inbox_, clock_),
-      watch_(start_.discovery, address_or_throw(start_.discovery, "discovery"), start_.names, start_.known.version,
-             reading_, inbox_, log_),
+      watch_(start_.discovery, address_or_throw(start_.discovery, "discovery"), start_.names,
+             start_.known.version, reading_, inbox_, log_),
       core_(start_.terms, start_.names, start_.seed, *this, log_) {
     address_or_throw(start_.listen, "listen");
 }
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -18,7 +18,7 @@
 const char* name_of(Stage stage);
 
 class Program : private Outlet {
-   public:
+ public:
     Program(StartFile start, Clock clock, Log& log);
     ~Program() override;
 
@@ -28,11 +28,12 @@
     Stage stage() const { return stage_; }
     net::Address address() const { return door_.address(); }
 
-   private:
+ private:
     // What is not for connections: discovery, probes, the listener, files.
     static constexpr std::size_t kSocketsKept = 64;
-    static constexpr std::size_t kMostConnections = 400;  // two threads each; docs/architecture.md has the sum
-    static constexpr std::size_t kBuffers = 640;          // of 16 KiB, in each pool: one for each reader, and some
+    static constexpr std::size_t kMostConnections =
+        400;                                      // two threads each; docs/architecture.md has the sum
+    static constexpr std::size_t kBuffers = 640;  // of 16 KiB, in each pool: one for each reader, and some
 
     void write(StreamId stream, std::string_view message) override { door_.write(stream, message); }
     void close(StreamId stream) override { door_.close(stream); }
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -12,12 +12,14 @@
 
 const json& member(const json& object, const char* key) {
     const auto found = object.find(key);
-    if (found == object.end() || found->is_null()) throw BadStart(std::string("the start file lacks '") + key + "'");
+    if (found == object.end() || found->is_null())
+        throw BadStart(std::string("the start file lacks '") + key + "'");
     return *found;
 }
 
 // The variable where it is set, else the file's key.
-std::string text_from(const Environment& environment, const char* variable, const json& file, const char* key) {
+std::string text_from(const Environment& environment, const char* variable, const json& file,
+                      const char* key) {
     if (const char* value = environment(variable); value && *value) return value;
     const json& found = member(file, key);
     if (!found.is_string()) throw BadStart(std::string("'") + key + "' is no text");
@@ -58,9 +60,7 @@
     if (start.terms.proxies < 1) throw BadStart("'settings' allows no proxy");
     try {
         start.sockets = member(member(file, "limits"), "sockets").get<std::size_t>();
-    } catch (const json::exception&) {
-        throw BadStart("'limits.sockets' is no number");
-    }
+    } catch (const json::exception&) { throw BadStart("'limits.sockets' is no number"); }
     auto known = protocol::ListReader(start.names).read(member(file, "known").dump());
     if (!known) throw BadStart("'known' is no list of servers");
     start.known = std::move(*known);
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -64,8 +64,10 @@
             state_ = line.empty() ? State::chunk_size : State::broken;
             return;
         case State::trailer:
-            if (line.empty()) state_ = State::done;
-            else if (++headers_ > kMostHeaders) state_ = State::broken;
+            if (line.empty())
+                state_ = State::done;
+            else if (++headers_ > kMostHeaders)
+                state_ = State::broken;
             return;
         default:
             return;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -13,7 +13,7 @@
 std::string http_get(std::string_view host, std::string_view target);
 
 class HttpReader {
-   public:
+ public:
     static constexpr std::size_t kLongestLine = 8 * 1024, kMostHeaders = 64;
 
     // Calls body(std::string_view) for what has come of the body. False once the answer can't be read.
@@ -21,7 +21,8 @@
     bool feed(std::string_view bytes, Body body) {
         while (!bytes.empty() && state_ != State::done && state_ != State::broken) {
             if (state_ == State::data || state_ == State::chunk) {
-                const std::size_t part = static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
+                const std::size_t part =
+                    static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
                 body(bytes.substr(0, part));
                 bytes.remove_prefix(part);
                 if ((left_ -= part) == 0) state_ = state_ == State::data ? State::done : State::chunk_end;
@@ -44,7 +45,7 @@
     bool done() const { return state_ == State::done; }
     bool broken() const { return state_ == State::broken; }
 
-   private:
+ private:
     enum class State { status, header, broken, data, chunk_size, chunk, chunk_end, trailer, done };
     void take_line();
     void take_header(std::string_view line);
--- a/src/protocol/json_cursor.cpp
+++ b/src/protocol/json_cursor.cpp
@@ -27,7 +27,8 @@
 }  // namespace
 
 char JsonCursor::peek() {
-    while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos) ++at_;
+    while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos)
+        ++at_;
     return at_ < text_.size() ? text_[at_] : '\0';
 }
 
@@ -83,12 +84,26 @@
         }
         if (at_ >= text_.size()) fail();
         switch (const char escaped = text_[at_++]) {
-            case '"': case '\\': case '/': text += escaped; break;
-            case 'b': text += '\b'; break;
-            case 'f': text += '\f'; break;
-            case 'n': text += '\n'; break;
-            case 'r': text += '\r'; break;
-            case 't': text += '\t'; break;
+            case '"':
+            case '\\':
+            case '/':
+                text += escaped;
+                break;
+            case 'b':
+                text += '\b';
+                break;
+            case 'f':
+                text += '\f';
+                break;
+            case 'n':
+                text += '\n';
+                break;
+            case 'r':
+                text += '\r';
+                break;
+            case 't':
+                text += '\t';
+                break;
             case 'u': {
                 unsigned code = hex4();
                 if (code >= 0xDC00 && code < 0xE000) fail();
@@ -102,7 +117,8 @@
                 append_utf8(text, code);
                 break;
             }
-            default: fail();
+            default:
+                fail();
         }
     }
 }
@@ -127,12 +143,24 @@
 
 void JsonCursor::skip() {
     switch (peek()) {
-        case '{': object([this](const std::string&) { skip(); }); break;
-        case '[': array([this] { skip(); }); break;
-        case '"': string(); break;
-        case 't': case 'f': boolean(); break;
-        case 'n': if (!null()) fail(); break;
-        default: number();
+        case '{':
+            object([this](const std::string&) { skip(); });
+            break;
+        case '[':
+            array([this] { skip(); });
+            break;
+        case '"':
+            string();
+            break;
+        case 't':
+        case 'f':
+            boolean();
+            break;
+        case 'n':
+            if (!null()) fail();
+            break;
+        default:
+            number();
     }
 }
 
--- a/src/protocol/json_cursor.hpp
+++ b/src/protocol/json_cursor.hpp
@@ -12,7 +12,7 @@
 };
 
 class JsonCursor {
-   public:
+ public:
     static constexpr int kDeepest = 32;
 
     explicit JsonCursor(std::string_view text) : text_(text) {}
@@ -37,10 +37,10 @@
     bool boolean();
     bool null();  // whether it is one; if not, nothing is read
     void skip();
-    void end();  // nothing but blanks may follow
+    void end();   // nothing but blanks may follow
     char peek();  // the next value's first character
 
-   private:
+ private:
     void enter(char bracket);
     bool leave(char bracket, bool first);
     void expect(char c);
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -1,4 +1,5 @@
-// Bytes in any pieces to lines. Knows no socket; what is held of an unfinished line stands in buffers of a pool.
+// Bytes in any pieces to lines. Knows no socket; what is held of an unfinished line stands in buffers of a
+// pool.
 #pragma once
 
 #include <string>
@@ -12,13 +13,13 @@
 const char* text_of(LineFault fault);
 
 class LineReader {
-   public:
+ public:
     static constexpr std::size_t kLongest = 1024 * 1024;  // CRLF included
 
     explicit LineReader(Pool& pool) : pool_(pool) {}
 
-    // Calls line(std::string_view), without its CRLF, for each that is complete, until one gives false. After a
-    // fault the stream can't be read any further.
+    // Calls line(std::string_view), without its CRLF, for each that is complete, until one gives false. After
+    // a fault the stream can't be read any further.
     template <class Line>
     LineFault feed(std::string_view bytes, Line line) {
         while (!bytes.empty()) {
@@ -46,7 +47,7 @@
     }
     bool in_mid_line() const { return !held_.empty(); }
 
-   private:
+ private:
     Pool& pool_;
     Chain held_;
 };
--- a/src/protocol/message.cpp
+++ b/src/protocol/message.cpp
@@ -11,12 +11,18 @@
 
 const char* text_of(LineFault fault) {
     switch (fault) {
-        case LineFault::none: return "none";
-        case LineFault::too_long: return "a line over 1 MiB";
-        case LineFault::no_carriage_return: return "a line that ends without CR";
-        case LineFault::nul_byte: return "a NUL byte";
-        case LineFault::no_buffer: return "no buffer left for its line";
-        case LineFault::refused: return "a message that can't be used";
+        case LineFault::none:
+            return "none";
+        case LineFault::too_long:
+            return "a line over 1 MiB";
+        case LineFault::no_carriage_return:
+            return "a line that ends without CR";
+        case LineFault::nul_byte:
+            return "a NUL byte";
+        case LineFault::no_buffer:
+            return "no buffer left for its line";
+        case LineFault::refused:
+            return "a message that can't be used";
     }
     return "?";
 }
@@ -28,14 +34,14 @@
 
 // The words of a line, each read once. Throws Unreadable.
 class Words {
-   public:
-    explicit Words(std::string_view line) {
-        kind_ = cut(line);
+ public:
+    explicit Words(std::string_view line) : kind_(cut(line)) {
         while (!line.empty()) {
             const std::string_view word = cut(line);
             if (word.empty()) continue;
             const std::size_t equals = word.find('=');
-            if (equals == 0 || equals == std::string_view::npos) throw Unreadable{"a word without name and value"};
+            if (equals == 0 || equals == std::string_view::npos)
+                throw Unreadable{"a word without name and value"};
             const std::string_view name = word.substr(0, equals);
             if (find(name)) throw Unreadable{"doubled word " + std::string(name.substr(0, 40))};
             if (words_.size() == kMostWords) throw Unreadable{"too many words"};
@@ -44,7 +50,8 @@
     }
     std::string_view kind() const { return kind_; }
     const std::string_view* find(std::string_view name) const {
-        const auto at = std::find_if(words_.begin(), words_.end(), [&](const auto& w) { return w.first == name; });
+        const auto at =
+            std::find_if(words_.begin(), words_.end(), [&](const auto& w) { return w.first == name; });
         return at == words_.end() ? nullptr : &at->second;
     }
     std::string_view text(const char* name) const {
@@ -69,7 +76,7 @@
         return static_cast<int>(at - among.begin());
     }
 
-   private:
+ private:
     static Unreadable bad(const char* name) { return {std::string("bad value of ") + name}; }
     template <class Number>
     static bool read_all(std::string_view text, Number& value) {
@@ -129,8 +136,6 @@
 
 std::variant<Message, Unreadable> read_message(std::string_view line, const Names& names, int proxies) try {
     return message_of(Words(line), names, proxies);
-} catch (const Unreadable& why) {
-    return why;
-}
+} catch (const Unreadable& why) { return why; }
 
 }  // namespace micaroad::protocol
--- a/src/protocol/message.hpp
+++ b/src/protocol/message.hpp
@@ -1,4 +1,5 @@
-// What comes in at the planner's address: one line to one message. Names become numbers here, and milliseconds spans.
+// What comes in at the planner's address: one line to one message. Names become numbers here, and
+// milliseconds spans.
 #pragma once
 
 #include <string>
@@ -14,8 +15,8 @@
 struct CollectorNamed {
     ZoneId zone;
 };
-using Message = std::variant<AliveAsked, CollectorNamed, event::ProxyJoined, event::MarkApplied, event::Outcomes,
-                             event::Arrivals>;
+using Message = std::variant<AliveAsked, CollectorNamed, event::ProxyJoined, event::MarkApplied,
+                             event::Outcomes, event::Arrivals>;
 
 // One that can't be meant: the text says why.
 struct Unreadable {
--- a/src/protocol/pool.hpp
+++ b/src/protocol/pool.hpp
@@ -14,7 +14,7 @@
 namespace micaroad::protocol {
 
 class Pool {
-   public:
+ public:
     static constexpr std::size_t kBlock = 16 * 1024;
     using Block = std::array<char, kBlock>;
     struct Return {
@@ -40,7 +40,7 @@
         return lease;
     }
 
-   private:
+ private:
     void put(Block* block) {
         const std::lock_guard lock(mutex_);
         idle_.emplace_back(block);
@@ -54,7 +54,7 @@
 
 // Bytes in a row of such buffers.
 class Chain {
-   public:
+ public:
     struct Piece {
         Pool::Lease block;
         std::size_t size = 0;
@@ -95,7 +95,7 @@
     bool empty() const { return size_ == 0; }
     void clear() { pieces_.clear(), size_ = 0; }
 
-   private:
+ private:
     std::deque<Piece> pieces_;
     std::size_t size_ = 0;
 };
--- a/src/protocol/push_writer.cpp
+++ b/src/protocol/push_writer.cpp
@@ -26,7 +26,7 @@
 
 // Parts of a message. A list too long for one goes on in the next, which repeats what it belongs to.
 class Parts {
-   public:
+ public:
     explicit Parts(std::size_t longest) : room_(longest - kTail.size() - 2) {}
 
     void open(std::string lead) {
@@ -62,7 +62,7 @@
         return all;
     }
 
-   private:
+ private:
     static constexpr std::string_view kTail = " continued=1";
     void go_on() {
         if (const auto full = lead_.find(" full=1"); full != std::string::npos) lead_.erase(full, 7);
@@ -82,7 +82,8 @@
     std::map<Letter::Level, std::set<MethodId>> levels;
     for (const auto& [method, level] : letter.levels) levels[level].insert(method);
     const auto write_level = [&parts](const Letter::Level& level) {
-        parts.word(fmt::format("admit={} policy={}", figure(level.amount), static_cast<int>(level.further_tries)));
+        parts.word(
+            fmt::format("admit={} policy={}", figure(level.amount), static_cast<int>(level.further_tries)));
     };
     for (const Letter::Table& table : letter.tables) {
         parts.open(fmt::format(" routes={}{}", routes_of(table.methods, names), table.full ? " full=1" : ""));
--- a/src/protocol/push_writer.hpp
+++ b/src/protocol/push_writer.hpp
@@ -9,6 +9,7 @@
 namespace micaroad::protocol {
 
 // Absent if it needs more parts than a message may have. A part, CRLF included, has at most `longest` bytes.
-std::optional<std::string> write_push(const Letter& letter, const Names& names, std::size_t longest = 1024 * 1024);
+std::optional<std::string> write_push(const Letter& letter, const Names& names,
+                                      std::size_t longest = 1024 * 1024);
 
 }  // namespace micaroad::protocol
--- a/src/protocol/server_list.cpp
+++ b/src/protocol/server_list.cpp
@@ -39,7 +39,9 @@
 
 Entry read_entry(JsonCursor& json) {
     Entry entry;
-    const auto text = [&](std::string& into) { json.peek() == '"' ? (void)(into = json.string()) : json.skip(); };
+    const auto text = [&](std::string& into) {
+        json.peek() == '"' ? (void)(into = json.string()) : json.skip();
+    };
     const auto figure = [&](double& into) {
         const char first = json.peek();
         if (first == '-' || (first >= '0' && first <= '9')) return (void)(into = json.number());
@@ -47,15 +49,24 @@
         json.skip();
     };
     json.object([&](const std::string& key) {
-        if (key == "id") text(entry.id);
-        else if (key == "addr") text(entry.address);
-        else if (key == "zone") text(entry.zone);
-        else if (key == "kind") text(entry.kind);
-        else if (key == "state") text(entry.state);
-        else if (key == "cell") figure(entry.cell);
-        else if (key == "weight") figure(entry.weight);
-        else if (key == "started_ms") figure(entry.started_ms);
-        else json.skip();
+        if (key == "id")
+            text(entry.id);
+        else if (key == "addr")
+            text(entry.address);
+        else if (key == "zone")
+            text(entry.zone);
+        else if (key == "kind")
+            text(entry.kind);
+        else if (key == "state")
+            text(entry.state);
+        else if (key == "cell")
+            figure(entry.cell);
+        else if (key == "weight")
+            figure(entry.weight);
+        else if (key == "started_ms")
+            figure(entry.started_ms);
+        else
+            json.skip();
     });
     return entry;
 }
@@ -91,13 +102,20 @@
             json.array([&] {
                 const Entry entry = read_entry(json);
                 if (const char* fault = fault_of(entry)) {
-                    if (said.dropped.size() < kMostDropped) said.dropped[{entry.id.substr(0, kLongestId)}] = fault;
+                    if (said.dropped.size() < kMostDropped)
+                        said.dropped[{entry.id.substr(0, kLongestId)}] = fault;
                     return;
                 }
                 ListedServer& server = servers[{entry.id}];
-                server = {{entry.id}, {place_of(names_.zones, entry.zone)}, {place_of(names_.kinds, entry.kind)},
-                          {static_cast<int>(entry.cell)}, *phase_of(entry.state), entry.weight, std::nullopt};
-                if (entry.started_ms > 0) server.last_start = Instant{Span{std::llround(entry.started_ms * 10)}};
+                server = {{entry.id},
+                          {place_of(names_.zones, entry.zone)},
+                          {place_of(names_.kinds, entry.kind)},
+                          {static_cast<int>(entry.cell)},
+                          *phase_of(entry.state),
+                          entry.weight,
+                          std::nullopt};
+                if (entry.started_ms > 0)
+                    server.last_start = Instant{Span{std::llround(entry.started_ms * 10)}};
                 said.addresses[server.server] = entry.address;
             });
         } else {
@@ -109,8 +127,6 @@
     said.list.form = full ? event::List::Form::complete : event::List::Form::changes;
     for (auto& [id, server] : servers) said.list.servers.push_back(std::move(server));
     return said;
-} catch (const JsonFault&) {
-    return std::nullopt;
-}
+} catch (const JsonFault&) { return std::nullopt; }
 
 }  // namespace micaroad::protocol
--- a/src/protocol/server_list.hpp
+++ b/src/protocol/server_list.hpp
@@ -16,24 +16,24 @@
 
 struct ListSaid {
     std::int64_t version = 0;
-    event::List list;                            // changes or complete; each server once, as it was given last
-    std::map<ServerId, std::string> addresses;   // for probes
-    std::map<ServerId, std::string> dropped;     // entries that can't be used: why
+    event::List list;                           // changes or complete; each server once, as it was given last
+    std::map<ServerId, std::string> addresses;  // for probes
+    std::map<ServerId, std::string> dropped;    // entries that can't be used: why
 };
 
 // Instants count from the Unix epoch. Names that the deployment did not tell are added to `names`.
 class ListReader {
-   public:
+ public:
     explicit ListReader(Names names) : names_(std::move(names)) {}
     std::optional<ListSaid> read(std::string_view json);  // absent: can't be read
 
-   private:
+ private:
     Names names_;
 };
 
 // The lines of a watch's body, bounded.
 class ObjectLines {
-   public:
+ public:
     static constexpr std::size_t kLongest = 4 * 1024 * 1024;
 
     // Calls line(std::string_view) for each, empty ones too. False once a line is too long.
@@ -53,7 +53,7 @@
     }
     std::string rest() { return std::exchange(held_, {}); }
 
-   private:
+ private:
     std::string held_;
 };
 
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -18,7 +18,8 @@
 }
 Span span_or(const json& object, const char* key, Span fallback = Span{}) {
     const auto found = object.find(key);
-    return found == object.end() || found->is_null() ? fallback : Span{found->get<std::int64_t>() / kMicrosPerUnit};
+    return found == object.end() || found->is_null() ? fallback
+                                                     : Span{found->get<std::int64_t>() / kMicrosPerUnit};
 }
 json part_of(const json& object, const char* key) { return value_or(object, key, json::object()); }
 
--- a/src/terms/terms.hpp
+++ b/src/terms/terms.hpp
@@ -1,4 +1,5 @@
-// What a deployment tells at the start: its settings object, decoded once, for every program that hosts the module.
+// What a deployment tells at the start: its settings object, decoded once, for every program that hosts the
+// module.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,8 +1,9 @@
 // The core without sockets: streams that replace each other, lists, probes, timers, and the start file.
+#include "planner/core.hpp"
+
 #include <catch2/catch.hpp>
 
 #include "helpers.hpp"
-#include "planner/core.hpp"
 #include "planner/start_file.hpp"
 
 using namespace micaroad;
@@ -45,7 +46,9 @@
         return arrival::StreamBegun{{stream}, {{proxy}, {0}, 5, standing}};
     }
     std::string said(std::uint64_t stream) { return std::exchange(ear.written[{stream}], ""); }
-    bool names(std::uint64_t stream, const char* text) { return said(stream).find(text) != std::string::npos; }
+    bool names(std::uint64_t stream, const char* text) {
+        return said(stream).find(text) != std::string::npos;
+    }
 };
 
 std::string change(int version, const char* state, long long started_ms = 0) {
@@ -128,13 +131,15 @@
              {std::string(R"("name":"n3")"), std::string(R"("listen":"127.0.0.1:0")"),
               std::string(R"("discovery":"127.0.0.1:1")"), std::string(R"("seed":"8c1f30d27a5be964")"),
               std::string(R"("limits":{"sockets":1024})"), R"("known":)" + test::kList, settings}) {
-            if (without.empty() || !part.starts_with('"' + without + '"')) all += (all.size() > 1 ? "," : "") + part;
+            if (without.empty() || !part.starts_with('"' + without + '"'))
+                all += (all.size() > 1 ? "," : "") + part;
         }
         return all + "}";
     };
     const StartFile start = read_start_text(text(), none);
     CHECK((start.name == "n3" && start.seed == 0x8c1f30d27a5be964 && start.sockets == 1024));
-    CHECK((start.terms.proxies == 4 && start.names.methods.size() == 1 && start.known.list.servers.size() == 2));
+    CHECK((start.terms.proxies == 4 && start.names.methods.size() == 1 &&
+           start.known.list.servers.size() == 2));
     const auto set = [](const char* name) { return std::string_view(name) == "LB_NAME" ? "n9" : nullptr; };
     CHECK(read_start_text(text(), set).name == "n9");
     for (const std::string key : {"name", "listen", "discovery", "seed", "limits", "known", "settings"}) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,9 +1,9 @@
-// The drivers, over socket pairs and against stand-ins of our own on loopback. Waits end with what they wait for; their
-// limits only keep a failing test from hanging.
-#include <catch2/catch.hpp>
+// The drivers, over socket pairs and against stand-ins of our own on loopback. Waits end with what they wait
+// for; their limits only keep a failing test from hanging.
 #include <sys/socket.h>
 #include <sys/un.h>
 
+#include <catch2/catch.hpp>
 #include <thread>
 
 #include "helpers.hpp"
@@ -111,7 +111,8 @@
                 Socket socket(::accept(listener.fd(), nullptr, nullptr));
                 if (!socket.open()) return;
                 std::string text;
-                for (char c; text.find("\r\n\r\n") == std::string::npos && socket.receive(&c, 1) == 1;) text += c;
+                for (char c; text.find("\r\n\r\n") == std::string::npos && socket.receive(&c, 1) == 1;)
+                    text += c;
                 asked.push_back(text.substr(0, text.find('\r')));
                 socket.send_all(answer);
                 if (answer.ends_with('!')) socket.shut_down();
@@ -142,7 +143,8 @@
 TEST_CASE_METHOD(Pair, "a stream's messages become arrivals, and orders go out on it") {
     for (const char c : kHello) REQUIRE(peer.send_all({&c, 1}));
     CHECK(next<arrival::StreamBegun>().joined.proxy == ProxyId{3});
-    peer.send_all("demand sidecar=3 kind=lookup n=4 bad=0 window=500\r\nack sidecar=3 version=9 lag_ms=1\r\nprobe\r\n");
+    peer.send_all(
+        "demand sidecar=3 kind=lookup n=4 bad=0 window=500\r\nack sidecar=3 version=9 lag_ms=1\r\nprobe\r\n");
     next<arrival::Reported>();
     CHECK(next<arrival::StreamAnswered>().applied.mark == MarkId{9});
     CHECK(read_some(peer, 7) == "alive\r\n");
@@ -158,7 +160,9 @@
     CHECK(read_some(peer, 7) == "alive\r\n");
     SECTION("usage of a stranger") { peer.send_all("demand sidecar=3 kind=lookup n=4 bad=0 window=500\r\n"); }
     SECTION("a collector that says hello") { peer.send_all("agent az=a\r\n" + kHello); }
-    SECTION("an answer of a collector") { peer.send_all("agent az=a\r\nack sidecar=1 version=1 lag_ms=1\r\n"); }
+    SECTION("an answer of a collector") {
+        peer.send_all("agent az=a\r\nack sidecar=1 version=1 lag_ms=1\r\n");
+    }
     SECTION("what can't be read") { peer.send_all("GET / HTTP/1.1\r\n\r\n"); }
     CHECK(ended(peer));
     CHECK(connection->role() != Role::stream);
@@ -223,8 +227,8 @@
 
 TEST_CASE_METHOD(Base, "the watch goes on through every kind of break, from the version it holds") {
     Discovery discovery({"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
-                         kWatch + chunk(version(42)) + chunk("\n"),             // then silence
-                         kWatch + chunk(version(43)) + "zz\r\n",                // a broken chunk
+                         kWatch + chunk(version(42)) + chunk("\n"),              // then silence
+                         kWatch + chunk(version(43)) + "zz\r\n",                 // a broken chunk
                          kWatch + chunk(version(44)) + chunk("{\"version\":4"),  // an object cut off
                          kWatch + chunk("{oh}\n"),
                          kWatch + chunk(version(45).substr(0, 9)) + chunk(version(45).substr(9)) + "!",
@@ -238,8 +242,10 @@
     int lost = 0;
     while (versions.empty() || versions.back() < 46) {
         for (auto& item : inbox.wait(clock_now()() + Span{100'000})) {
-            if (const auto* told = std::get_if<arrival::ListTold>(&item.arrival)) versions.push_back(told->said.version);
-            else ++lost;
+            if (const auto* told = std::get_if<arrival::ListTold>(&item.arrival))
+                versions.push_back(told->said.version);
+            else
+                ++lost;
         }
     }
     watch.stop();
@@ -253,8 +259,8 @@
 
 TEST_CASE_METHOD(Base, "the whole list is fetched when it is asked for") {
     Discovery discovery({kWatch + chunk(version(42)),
-                         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(test::kList.size()) + "\r\n\r\n" +
-                             test::kList,
+                         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(test::kList.size()) +
+                             "\r\n\r\n" + test::kList,
                          kWatch});
     DiscoveryWatch watch("d", discovery.listener.local(), names, 41, pool, inbox, quiet.log);
     discovery.begin();
@@ -320,7 +326,8 @@
     const StreamId stuck = next<arrival::StreamBegun>().stream;
     reader.send_all("hello sidecar=4 az=a share=2 standing=1\r\n");
     const StreamId read = next<arrival::StreamBegun>().stream;
-    // More than the kernel takes for it and the buffers hold; then what is ordered to the other goes out whole.
+    // More than the kernel takes for it and the buffers hold; then what is ordered to the other goes out
+    // whole.
     const std::string much(400 * 1024, 'x'), order(800 * 1024, 'y');
     for (int i = 0; i < 3; ++i) door.write(stuck, much);
     door.write(read, order);
--- a/tests/outbox_test.cpp
+++ b/tests/outbox_test.cpp
@@ -1,8 +1,9 @@
 // The module's orders as letters, against what WIRE says that they mean.
+#include "outbox/outbox.hpp"
+
 #include <catch2/catch.hpp>
 
 #include "helpers.hpp"
-#include "outbox/outbox.hpp"
 
 using namespace micaroad;
 
@@ -13,7 +14,8 @@
 
 order::SetLine line(const char* server, double weight) { return {kTable, {server}, weight}; }
 order::Withdraw out(const char* server, bool is_out = true) { return {{server}, is_out}; }
-order::SetLevel level(double amount, std::optional<TableId> table = kTable, std::vector<MethodId> methods = {}) {
+order::SetLevel level(double amount, std::optional<TableId> table = kTable,
+                      std::vector<MethodId> methods = {}) {
     return {table, std::move(methods), amount, FurtherTry::once_if_never_ran};
 }
 event::List list(std::vector<std::string> ids, event::List::Form form = event::List::Form::complete) {
@@ -49,7 +51,8 @@
     }
     std::set<ServerId> open(MethodId method) const {
         std::set<ServerId> open;
-        for (const auto& [server, weight] : tables.at(method)) if (!shut.contains(server)) open.insert(server);
+        for (const auto& [server, weight] : tables.at(method))
+            if (!shut.contains(server)) open.insert(server);
         return open;
     }
 };
@@ -76,8 +79,8 @@
     Outbox outbox = book();
     outbox.joined({0}), outbox.joined({1});
     outbox.letters({line("a", 1), line("b", 1), kBindNull});
-    const auto letters = outbox.letters(
-        {line("a", 2), order::Bind{kTable, {}, {1}}, line("b", 0), out("a"), level(0.5), level(0.7, kTable, {{1}})});
+    const auto letters = outbox.letters({line("a", 2), order::Bind{kTable, {}, {1}}, line("b", 0), out("a"),
+                                         level(0.5), level(0.7, kTable, {{1}})});
     REQUIRE(letters.size() == 2);
     CHECK(letters[0].tables[0].lines == std::map<ServerId, double>{{{"a"}, 2}, {{"b"}, 0}});
     CHECK((!letters[0].tables[0].full && letters[1].tables[0].full));
@@ -129,7 +132,8 @@
     Outbox outbox = book();
     Proxy proxy;
     const auto send = [&](const std::vector<Order>& orders, bool lost = false) {
-        for (const auto& letter : outbox.letters(orders)) if (!lost) proxy.read(letter);
+        for (const auto& letter : outbox.letters(orders))
+            if (!lost) proxy.read(letter);
     };
     outbox.joined({0});
     send({line("a", 1), line("b", 1), kBindNull});
@@ -198,7 +202,10 @@
     std::size_t levels = 0;
     std::map<ProxyId, std::size_t> lines;
 
-    void to_bound() { for (const auto& [proxy, bound] : joined) if (bound) ++lines[proxy]; }
+    void to_bound() {
+        for (const auto& [proxy, bound] : joined)
+            if (bound) ++lines[proxy];
+    }
     void count(const order::SetLine& o) {
         o.weight > 0 ? (void)(table[o.server] = o.weight) : (void)table.erase(o.server);
         to_bound();
@@ -206,14 +213,17 @@
     void count(const order::SetLevel&) { levels = 2, to_bound(); }
     void count(const order::Withdraw& o) {
         o.out ? (void)withdrawn.insert(o.server) : (void)withdrawn.erase(o.server);
-        for (const auto& [proxy, bound] : joined) if (!bound || table.contains(o.server)) ++lines[proxy];
+        for (const auto& [proxy, bound] : joined)
+            if (!bound || table.contains(o.server)) ++lines[proxy];
     }
     void count(const order::Bind& o) {
         joined[o.proxy] = true;
         lines[o.proxy] += 1 + table.size() + levels;
         for (const auto& [server, weight] : table) lines[o.proxy] += withdrawn.contains(server);
     }
-    void count(const order::Mark&) { for (auto& [proxy, sum] : lines) ++sum; }
+    void count(const order::Mark&) {
+        for (auto& [proxy, sum] : lines) ++sum;
+    }
     template <class Other>
     void count(const Other&) {}
 };
@@ -234,8 +244,12 @@
         if (tick % 5 == 0) {
             for (const char* server : {"a", "b", "c"}) {
                 const double slow = server[0] == 'b' ? 40'000 : 3'000;
-                planner.hear(event::Outcomes{{server}, {0}, 12, server[0] == 'c' && tick > 50 ? 9.0 : 0.0,
-                                             Span{static_cast<std::int64_t>(slow)}, Span{5'000}});
+                planner.hear(event::Outcomes{{server},
+                                             {0},
+                                             12,
+                                             server[0] == 'c' && tick > 50 ? 9.0 : 0.0,
+                                             Span{static_cast<std::int64_t>(slow)},
+                                             Span{5'000}});
             }
             planner.hear(event::Arrivals{{1}, {0}, 20, 0, Span{5'000}});
         }
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -20,7 +20,8 @@
     LineFault fault = LineFault::none;
     for (const auto piece : pieces) {
         if (fault != LineFault::none) break;
-        fault = reader.feed(piece, [&lines](std::string_view line) { return lines.emplace_back(line), true; });
+        fault =
+            reader.feed(piece, [&lines](std::string_view line) { return lines.emplace_back(line), true; });
     }
     return {lines, fault};
 }
@@ -53,7 +54,8 @@
     const std::string text = "probe\r\nagent az=a\r\n\r\nack sidecar=1 version=2 lag_ms=3\r\n";
     for (std::size_t cut = 0; cut <= text.size(); ++cut) {
         LineReader reader(pool);
-        const auto [lines, fault] = lines_of(reader, {std::string_view(text).substr(0, cut), text.substr(cut)});
+        const auto [lines, fault] =
+            lines_of(reader, {std::string_view(text).substr(0, cut), text.substr(cut)});
         CHECK(fault == LineFault::none);
         CHECK(lines == Lines{"probe", "agent az=a", "", "ack sidecar=1 version=2 lag_ms=3"});
         CHECK(!reader.in_mid_line());
@@ -135,9 +137,10 @@
         "hello sidecar=1 az=a share=inf standing=0", "hello sidecar=1 az=a share=1e999 standing=0",
         "hello sidecar=1 az=a share=2x standing=0", "hello sidecar=1 az=a share=2 standing=2",
         "hello sidecar=1 az=a share= standing=0", "hello sidecar=99999999999 az=a share=1 standing=0",
-        "ack sidecar=1 version=65536 lag_ms=1", "ack sidecar=1 version=1.5 lag_ms=1", "ack sidecar=1 version=1",
-        "demand sidecar=1 kind=none n=1 bad=0 window=1", "demand sidecar=1 kind=lookup n=1e13 bad=0 window=1",
-        "outcomes az=a host= n=1 bad=0 avg=1 window=1", "agent", "agent az", "agent =a", "agent az=a az=a");
+        "ack sidecar=1 version=65536 lag_ms=1", "ack sidecar=1 version=1.5 lag_ms=1",
+        "ack sidecar=1 version=1", "demand sidecar=1 kind=none n=1 bad=0 window=1",
+        "demand sidecar=1 kind=lookup n=1e13 bad=0 window=1", "outcomes az=a host= n=1 bad=0 avg=1 window=1",
+        "agent", "agent az", "agent =a", "agent az=a az=a");
     CHECK(std::holds_alternative<Unreadable>(read_message(line, test::names(), 8)));
 }
 
@@ -161,13 +164,12 @@
 }
 
 TEST_CASE("an HTTP answer that breaks off or is none is told from one that ends") {
-    const auto broken = GENERATE(as<std::string>{}, "hello world, or so|", "HTTP/1.1 2x0 OK||", "HTTP/1.1 200 OK|bad||",
-                                 "HTTP/1.1 200 OK|Transfer-Encoding: gzip||",
-                                 "HTTP/1.1 200 OK|Transfer-Encoding: chunked||zz|",
-                                 "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|okX",
-                                 "HTTP/1.1 200 OK|Transfer-Encoding: chunked||ffffffffffffffffff|",
-                                 "HTTP/1.1 200 OK|Content-Length: 2|Content-Length: 3||",
-                                 "HTTP/1.1 200 OK|Content-Length: -1||");
+    const auto broken = GENERATE(
+        as<std::string>{}, "hello world, or so|", "HTTP/1.1 2x0 OK||", "HTTP/1.1 200 OK|bad||",
+        "HTTP/1.1 200 OK|Transfer-Encoding: gzip||", "HTTP/1.1 200 OK|Transfer-Encoding: chunked||zz|",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|okX",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||ffffffffffffffffff|",
+        "HTTP/1.1 200 OK|Content-Length: 2|Content-Length: 3||", "HTTP/1.1 200 OK|Content-Length: -1||");
     HttpReader http;
     body_of(http, joined(broken, "\r\n") + "\r\n", 3);
     CHECK(http.broken());
@@ -175,7 +177,8 @@
     body_of(cut, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", 9);
     CHECK(!cut.end());
     HttpReader endless;
-    CHECK(!endless.feed("HTTP/1.1 200 " + std::string(HttpReader::kLongestLine, 'x'), [](std::string_view) {}));
+    CHECK(
+        !endless.feed("HTTP/1.1 200 " + std::string(HttpReader::kLongestLine, 'x'), [](std::string_view) {}));
 }
 
 TEST_CASE("a list of servers is read; of an entry given twice the last counts") {
@@ -200,15 +203,16 @@
 }
 
 TEST_CASE("an entry that can't be used is dropped, the others count") {
-    const auto entry = GENERATE(as<std::string>{}, R"({"id":"x","addr":"h:1","zone":"a","state":"asleep"})",
-                                R"({"id":"x","zone":"a","state":"up"})", R"({"id":"x","addr":"h:1","state":"up"})",
-                                R"({"id":"x,y","addr":"h:1","zone":"a","state":"up"})",
-                                R"({"id":"x\r\n","addr":"h:1","zone":"a","state":"up"})",
-                                R"({"addr":"h:1","zone":"a","state":"up"})",
-                                R"({"id":"x","addr":"h:1","zone":"a","state":"up","weight":-1})",
-                                R"({"id":"x","addr":"h:1","zone":"a","state":"up","started_ms":"now"})");
+    const auto entry = GENERATE(
+        as<std::string>{}, R"({"id":"x","addr":"h:1","zone":"a","state":"asleep"})",
+        R"({"id":"x","zone":"a","state":"up"})", R"({"id":"x","addr":"h:1","state":"up"})",
+        R"({"id":"x,y","addr":"h:1","zone":"a","state":"up"})",
+        R"({"id":"x\r\n","addr":"h:1","zone":"a","state":"up"})", R"({"addr":"h:1","zone":"a","state":"up"})",
+        R"({"id":"x","addr":"h:1","zone":"a","state":"up","weight":-1})",
+        R"({"id":"x","addr":"h:1","zone":"a","state":"up","started_ms":"now"})");
     ListReader reader(test::names());
-    const auto said = reader.read(R"({"version":1,"servers":[)" + entry + R"(,{"id":"y","state":"removed"}]})");
+    const auto said =
+        reader.read(R"({"version":1,"servers":[)" + entry + R"(,{"id":"y","state":"removed"}]})");
     REQUIRE(said);
     CHECK(said->dropped.size() == 1);
     CHECK(said->list.servers.size() == 1);
@@ -216,13 +220,14 @@
 
 TEST_CASE("a list that is cut off or malformed is no list") {
     ListReader reader(test::names());
-    for (std::size_t cut = 0; cut < test::kList.size(); ++cut) CHECK(!reader.read(test::kList.substr(0, cut)));
-    const auto text = GENERATE(as<std::string>{}, "[]", R"({"version":1})", R"({"servers":[]})",
-                               R"({"version":-1,"servers":[]})", R"({"version":"1","servers":[]})",
-                               R"({"version":1,"servers":{}})", R"({"version":1,"servers":[7]})",
-                               R"({"version":1,"servers":[],})", R"({"version":1,"servers":[]} x)",
-                               R"({"version":nan,"servers":[]})", R"({"version":1,"servers":[],"a":"\ud800"})",
-                               R"({"version":1e999,"servers":[]})");
+    for (std::size_t cut = 0; cut < test::kList.size(); ++cut)
+        CHECK(!reader.read(test::kList.substr(0, cut)));
+    const auto text = GENERATE(
+        as<std::string>{}, "[]", R"({"version":1})", R"({"servers":[]})", R"({"version":-1,"servers":[]})",
+        R"({"version":"1","servers":[]})", R"({"version":1,"servers":{}})", R"({"version":1,"servers":[7]})",
+        R"({"version":1,"servers":[],})", R"({"version":1,"servers":[]} x)",
+        R"({"version":nan,"servers":[]})", R"({"version":1,"servers":[],"a":"\ud800"})",
+        R"({"version":1e999,"servers":[]})");
     CHECK(!reader.read(text));
     CHECK(!reader.read(R"({"version":1,"servers":[],"deep":)" + std::string(100'000, '[')));
 }
@@ -247,14 +252,17 @@
     CHECK(written() == "push eject=s-7 nonce_out=905\r\n");
     letter.shut.clear();
     letter.tables = {{{{0}, {1}}, true, {{{"s-1"}, 1.5}, {{"s-2"}, 1e-7}}}};
-    letter.levels = {{{0}, {0.9, FurtherTry::once_if_never_ran}}, {{1}, {0.9, FurtherTry::once_if_never_ran}}};
-    CHECK(written() == "push routes=lookup+order full=1 endpoints=s-1:1.5,s-2:0.0000001 admit=0.9 policy=1 "
-                       "nonce_out=905\r\n");
+    letter.levels = {{{0}, {0.9, FurtherTry::once_if_never_ran}},
+                     {{1}, {0.9, FurtherTry::once_if_never_ran}}};
+    CHECK(written() ==
+          "push routes=lookup+order full=1 endpoints=s-1:1.5,s-2:0.0000001 admit=0.9 policy=1 "
+          "nonce_out=905\r\n");
     letter.levels[{1}].amount = 1;
     letter.shut = {{{"s-1"}, false}, {{"s-2"}, true}, {{"s-3"}, true}};
-    CHECK(written() == "push routes=lookup+order full=1 endpoints=s-1:1.5,s-2:0.0000001 continued=1\r\n"
-                       "push routes=lookup admit=0.9 policy=1 continued=1\r\n"
-                       "push routes=order admit=1 policy=1 eject=s-2,s-3 restore=s-1 nonce_out=905\r\n");
+    CHECK(written() ==
+          "push routes=lookup+order full=1 endpoints=s-1:1.5,s-2:0.0000001 continued=1\r\n"
+          "push routes=lookup admit=0.9 policy=1 continued=1\r\n"
+          "push routes=order admit=1 policy=1 eject=s-2,s-3 restore=s-1 nonce_out=905\r\n");
 }
 
 TEST_CASE("a message too large for one part goes on in others, 64 at most") {
