--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -140,6 +140,15 @@
         if (held != held_.end() && probed_.insert(probe->server).second) {
             outlet_.probe(probe->server, held->second.address);
         }
+    } else if (const auto* level = std::get_if<order::SetLevel>(&order)) {
+        for (const MethodId method : level->methods) {
+            double& last = levels_.try_emplace(method, 1).first->second;
+            if (std::exchange(last, level->amount) == level->amount) continue;
+            log_.info("level of {}: {:.2f}", names_.methods[static_cast<std::size_t>(method.value)],
+                      level->amount);
+        }
+    } else if (const auto* withdrawal = std::get_if<order::Withdraw>(&order)) {
+        log_.info("server {} is {}", withdrawal->server.value, withdrawal->out ? "withdrawn" : "let back");
     } else if (std::holds_alternative<order::FetchList>(order)) {
         outlet_.fetch_list();
     } else if (const auto* line = std::get_if<order::LogLine>(&order)) {
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -52,6 +52,7 @@
     std::set<ServerId> probed_;      // an answer is awaited
     std::int64_t version_ = -1;
     std::multimap<Instant, TimerId> timers_;
+    std::map<MethodId, double> levels_;  // as last ordered, for the log
     std::set<std::size_t> unserved_;  // kinds of order that were logged as such
     bool stopping_ = false;
     struct {
