Failures between zones that nothing comes back from no longer cut levels

Ruled out: lateness (its own zone answers early). At fault: Gate::on(Outcomes) in src/balance.cpp counted each failed try as a try that is late, so that the median of that planner was a failure. Now tries are summed by the proxies' and the server's zone; a way with eight failures or more and no ok answer in a look is left out, unless nothing is ok anywhere. It also guards against any lost link between zones; it could harm where a whole zone is so overloaded that nothing of it is answered in time while others are well: its load then falls by weights alone.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,7 +34,7 @@
 
 struct Server : Part {
     Desk& desk;
-    Part &weigher, &keeper;
+    Part &weigher, &keeper, &gate;
     Standing self{};
 
     void on(const Listed& note) {
@@ -55,6 +55,7 @@
     }
 
     void on(const event::Outcomes& met) {
+        gate.inbox.push_back(Met{met, self.entry.zone});
         // Guards against reports of the life before a restart; it costs but a little evidence.
         if (!self.open || (self.entry.last_start && desk.now - met.over < *self.entry.last_start)) return;
         self.tries += met.tries;
@@ -298,10 +299,10 @@
 
 // ---- Levels ----------------------------------------------------------------------------------------------
 
-// Mechanism 3. Guards against a fleet that is late as a whole, whatever the cause (overload, shared slowness,
-// retry storms): when the median try is answered later than a part of the soft deadline, what is let in falls
-// under what the fleet bears, so that queues drain; once answers are early it goes back to a little less than
-// what was too much. It could harm where load is not why RPCs are late; hence the floor.
+// Mechanism 3. Guards against a fleet that is late as a whole (overload, shared slowness, retry storms): when
+// the median try is later than a part of the soft deadline, less is let in than the fleet bears, so that
+// queues drain; early answers bring most of it back. Failures between two zones that nothing comes back from
+// don't count: less load mends no link. It could harm where load isn't why RPCs are late; hence the floor.
 struct Gate : Part {
     Desk& desk;
     Part &weigher, &channel;
@@ -309,12 +310,13 @@
     double window = 0, tries = 0, let_in = 1, bearable = 1;  // bearable: once its queues are short again
     Instant next_cut{}, last_look{};
     std::vector<std::pair<double, double>> met{};  // answer times and their weights, since the last look
+    std::map<std::pair<ZoneId, ZoneId>, std::pair<double, double>> ways{};  // ok and bad, by both zones
 
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
-    void on(const event::Outcomes& note) {
-        met.emplace_back(seconds(note.mean), note.tries - note.bad);
-        met.emplace_back(seconds(kNeverCame), note.bad);
-        tries += note.tries;
+    void on(const Met& note) {
+        auto& [ok, bad] = ways[{note.said.from, note.at}];
+        ok += note.said.tries - note.said.bad, bad += note.said.bad, tries += note.said.tries;
+        met.emplace_back(seconds(note.said.mean), note.said.tries - note.said.bad);
     }
 
     void on(const Beat&) {
@@ -327,8 +329,10 @@
 
     void on(const Pulse&) {
         if (desk.now < last_look + std::max(kLookEvery, desk.terms.report_every) || tries < kEnough) return;
+        const bool ok = std::any_of(ways.begin(), ways.end(), [](auto& way) { return way.second.first > 0; });
+        for (auto [_, n] : ways) if (!ok || n.first > 0 || n.second < kCut) met.emplace_back(kLost, n.second);
         const double answer = middle(met);
-        met.clear(), tries = 0;
+        met.clear(), ways.clear(), tries = 0;
         if (answer > aim && desk.now >= next_cut) {
             bearable = std::max(bearable * kBackOff, 2 * kLeastLetIn);
             let_in = std::max(bearable * std::max(aim / answer, 0.5), kLeastLetIn);
@@ -346,7 +350,8 @@
 
     static constexpr Span kLookEvery = std::chrono::seconds(1);  // a fleet jams within a few
     static constexpr double kEnough = 20;  // tries for a median
-    static constexpr Span kNeverCame = std::chrono::hours(1);  // once half of them fail the fleet is late
+    static constexpr double kLost = 3600;  // seconds: once half of them fail the fleet is late
+    static constexpr double kCut = 8;  // bad ones alone: by chance in 1 of 256 looks, where a half is bad
     static constexpr double kGrowth = 0.2;  // a second, of what the answers leave
     static constexpr double kAim = 0.7;   // a mean so late puts a quarter of exponential answers past it
     static constexpr double kLeastLetIn = 0.15, kBackOff = 0.85;
@@ -380,9 +385,6 @@
         bool out = false;  // withdrawn
         Instant due{};     // since when it should be
     };
-    // Rank (0: can't wait, 1: learnt, 2: tidies up), size, server, pool (below 0: it leaves or comes back).
-    using Change = std::tuple<int, double, ServerId, int>;
-    struct Marked { double before, each; };  // lines ordered before it, and by each of its messages
     Desk& desk;
     std::vector<Binding> bindings{};  // by pool
     std::map<ServerId, Entry> servers{};
@@ -684,7 +686,7 @@
         for (const ListedServer& entry : list.servers) {
             if (entry.server.value.empty()) continue;
             named.insert(entry.server);
-            const auto at = servers_.try_emplace(entry.server, Part{}, desk_, weigher_, keeper_).first;
+            const auto at = servers_.try_emplace(entry.server, Part{}, desk_, weigher_, keeper_, gate_).first;
             tell(at->second, Listed{entry});
         }
         if (list.form == event::List::Form::changes) return;
@@ -703,7 +705,6 @@
         if (at == servers_.end() || !sound(met, desk_.terms)) return;
         met.bad = std::min(met.bad, met.tries);
         tell(at->second, met);
-        gate_.inbox.push_back(met);
     }
     template <class Other>
     void apply(Other& event) {  // what can't be meant, or means nothing to any part, is not acted on
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <deque>
 #include <optional>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,6 +26,10 @@
     double tries = 0, bad = 0, answer_seconds = 0, window = 0;
     bool gone() const { return !open && entry.phase == Phase::gone; }
 };
+struct Met { event::Outcomes said; ZoneId at; };  // with the zone of the server
+struct Marked { double before, each; };  // lines ordered before a mark, and by each of its messages
+// Rank (0: can't wait, 1: learnt, 2: tidies up), size, server, pool (below 0: it leaves or comes back).
+using Change = std::tuple<int, double, ServerId, int>;
 struct Wish { ServerId server; Row shares; };  // by pool
 struct Handover { TableId slice; ServerId server; double weight; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
@@ -33,7 +38,7 @@
 struct Levels { Row amounts; };               // by method
 
 using Note = std::variant<Listed, Unlisted, Beat, Step, Pulse, Resubscribe, Standing, Wish, Handover, Binding,
-                          Demand, Levels, Cold, event::Outcomes, event::ProxyJoined, event::ProxyLeft, event::Arrivals,
+                          Demand, Levels, Cold, Met, event::Outcomes, event::ProxyJoined, event::ProxyLeft, event::Arrivals,
                           event::SliceGiven, event::SliceOwner, event::MarkApplied>;
 
 struct Part {
