--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -18,13 +18,16 @@
 
 }  // namespace
 
-Core::Core(Terms terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log)
+Core::Core(const Terms& terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log)
     : names_(std::move(names)),
       subscribed_(terms.must_subscribe),
       outlet_(outlet),
       log_(log),
-      planner_(std::move(terms), seed),
-      outbox_(names_.methods.size()) {}
+      planner_(terms, seed),
+      outbox_(names_.methods.size()) {
+    if (terms.slices > 0)
+        log_.warn("the settings name {} slices: this protocol has no words for them", terms.slices);
+}
 
 void Core::turn(std::vector<Inbox::Item>& items, Instant now) {
     for (auto& item : items) std::visit([this](auto& arrived) { hear(arrived); }, item.arrival);
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -16,7 +16,7 @@
 
 class Core {
  public:
-    Core(Terms terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log);
+    Core(const Terms& terms, Names names, std::uint64_t seed, Outlet& outlet, Log& log);
 
     // Hears all of them and the timers that are due, decides once, and sends what was ordered.
     void turn(std::vector<Inbox::Item>& items, Instant now);
@@ -53,7 +53,7 @@
     std::int64_t version_ = -1;
     std::multimap<Instant, TimerId> timers_;
     std::map<MethodId, double> levels_;  // as last ordered, for the log
-    std::set<std::size_t> unserved_;  // kinds of order that were logged as such
+    std::set<std::size_t> unserved_;     // kinds of order that were logged as such
     bool stopping_ = false;
     struct {
         Instant since{};
