--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# What staff do most. CONFIG is a start file, as README.md shows one.
-CONFIG ?= docs/example-start.json
+# What staff do most. START_FILE is what LB_CONFIG is to name, as README.md shows one.
+START_FILE ?= docs/example-start.json
 SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'include/*.hpp' 'tests/*.cpp' 'tests/*.hpp')
 
 # Optimized little: sanitized code takes the compiler long.
@@ -36,7 +36,7 @@
 	    --enable=warning,performance,portability --suppress=missingIncludeSystem src
 
 run: build
-	LB_CONFIG=$(CONFIG) build/micaroad
+	LB_CONFIG=$(START_FILE) build/micaroad
 
 clean:
 	rm -rf build
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -42,7 +42,7 @@
         const auto fault = lines.feed({buffer->data(), static_cast<std::size_t>(got)},
                                       [&](std::string_view line) { return take(line, crew, why); });
         if (fault != protocol::LineFault::none) {
-            if (fault != protocol::LineFault::refused) why = protocol::text_of(fault);
+            if (fault != protocol::LineFault::not_taken) why = protocol::text_of(fault);
             house_.log.warn("{} sent what can't be used: {}", peer_, why);
             return why;
         }
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -9,7 +9,7 @@
 
 namespace micaroad::protocol {
 
-enum class LineFault { none, too_long, no_carriage_return, nul_byte, no_buffer, refused };
+enum class LineFault { none, too_long, no_carriage_return, nul_byte, no_buffer, not_taken };
 const char* text_of(LineFault fault);
 
 class LineReader {
@@ -40,7 +40,7 @@
             }
             if (!view.ends_with("\r\n")) return LineFault::no_carriage_return;
             view.remove_suffix(2);
-            if (!line(view)) return LineFault::refused;
+            if (!line(view)) return LineFault::not_taken;
             held_.clear();  // not before: so all copies together are no larger than the pool
         }
         return LineFault::none;
--- a/src/protocol/message.cpp
+++ b/src/protocol/message.cpp
@@ -21,7 +21,7 @@
             return "a NUL byte";
         case LineFault::no_buffer:
             return "no buffer left for its line";
-        case LineFault::refused:
+        case LineFault::not_taken:
             return "a message that can't be used";
     }
     return "?";
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -93,7 +93,7 @@
     CHECK(fault_of(std::string(3 * Pool::kBlock, 'x')) == LineFault::no_buffer);
     LineReader reader(pool);
     const auto refuse = [](std::string_view) { return false; };
-    CHECK(reader.feed("probe\r\nprobe\r\n", refuse) == LineFault::refused);
+    CHECK(reader.feed("probe\r\nprobe\r\n", refuse) == LineFault::not_taken);
 }
 
 TEST_CASE("a pool gives what it has, takes it back, and no more") {
