One check that a text is wholly a number; a proxy leaves, and a table's levels begin, in one place

Dead: JsonFault's place. The push writer no longer cuts full=1 out of a finished text. A table's methods are looked up once an order, not twice. The text of a line's fault stands with its type. Behaviour and tests are as they were.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -69,8 +69,7 @@
     why = "a role on top of another";
     if (role_ != Role::stranger) return false;
     role_ = Role::collector;
-    house_.log.info("collector {} speaks for {}", peer_,
-                    house_.names.zones[static_cast<std::size_t>(named.zone.value)]);
+    house_.log.info("collector {} speaks for {}", peer_, house_.names.zone(named.zone));
     return true;
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -8,9 +8,10 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 
+#include "protocol/whole_number.hpp"
+
 namespace micaroad::net {
 
 std::optional<Address> address_of(const std::string& text) {
@@ -18,9 +19,8 @@
     if (colon == std::string::npos) return std::nullopt;
     std::string host = text.substr(0, colon);
     unsigned port = 0;
-    const char* end = text.data() + text.size();
-    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc{} || at != end || port > 65535) return std::nullopt;
+    if (!protocol::read_whole(std::string_view(text).substr(colon + 1), port) || port > 65535)
+        return std::nullopt;
     Address address;
     if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
         host = host.substr(1, host.size() - 2);
--- a/src/outbox/outbox.cpp
+++ b/src/outbox/outbox.cpp
@@ -22,10 +22,7 @@
     heard_any_ = true;
 }
 
-void Outbox::joined(ProxyId proxy) {
-    left(proxy);
-    proxies_[proxy].here = true;
-}
+void Outbox::joined(ProxyId proxy) { proxies_[proxy].here = true; }
 
 // What it may not have got is taken for shut out, so that it is let back with its next line; the rest it
 // keeps.
@@ -78,8 +75,9 @@
     Table& table = tables_[o.table];
     o.weight > 0 ? (void)(table.lines[o.server] = o.weight) : (void)table.lines.erase(o.server);
     for (auto& [number, proxy] : proxies_) {
-        if (methods_at(proxy, o.table).empty()) continue;
-        Letter::Table& part = table_in(letter_to(number), proxy, o.table);
+        const std::set<MethodId> methods = methods_at(proxy, o.table);
+        if (methods.empty()) continue;
+        Letter::Table& part = table_in(letter_to(number), methods);
         if (o.weight > 0) {
             part.lines[o.server] = o.weight;
             let_back_unless_open(number, proxy, o.server);
@@ -97,12 +95,8 @@
         const std::set<MethodId> methods = methods_at(proxy, o.table);
         if (methods.empty()) continue;
         Letter& letter = letter_to(number);
-        Letter::Table& part = table_in(letter, proxy, o.table);
-        part = {methods, true, {}};
-        for (const MethodId method : methods) {
-            letter.levels.erase(method);
-            if (const auto level = level_of(tables_[o.table], method)) letter.levels[method] = *level;
-        }
+        table_in(letter, methods) = {methods, true, {}};
+        begin_levels(letter, tables_[o.table], methods);
     }
 }
 
@@ -118,11 +112,8 @@
     }
     std::erase_if(letter.tables, [](const Letter::Table& other) { return other.methods.empty(); });
     letter.tables.push_back({methods, true, table.lines});
-    for (const MethodId method : methods) {
-        proxy.bound[method] = o.table;
-        letter.levels.erase(method);
-        if (const auto level = level_of(table, method)) letter.levels[method] = *level;
-    }
+    for (const MethodId method : methods) proxy.bound[method] = o.table;
+    begin_levels(letter, table, methods);
     for (const auto& [server, weight] : table.lines) {
         withdrawn_.contains(server) ? tell_shut(o.proxy, proxy, server, true)
                                     : let_back_unless_open(o.proxy, proxy, server);
@@ -165,8 +156,7 @@
     return letter;
 }
 
-Letter::Table& Outbox::table_in(Letter& letter, const Proxy& proxy, TableId table) {
-    const std::set<MethodId> methods = methods_at(proxy, table);
+Letter::Table& Outbox::table_in(Letter& letter, const std::set<MethodId>& methods) {
     for (Letter::Table& part : letter.tables) {
         if (std::includes(methods.begin(), methods.end(), part.methods.begin(), part.methods.end()))
             return part;
@@ -174,6 +164,13 @@
     return letter.tables.emplace_back(Letter::Table{methods, false, {}});
 }
 
+void Outbox::begin_levels(Letter& letter, const Table& table, const std::set<MethodId>& methods) const {
+    for (const MethodId method : methods) {
+        letter.levels.erase(method);
+        if (const auto level = level_of(table, method)) letter.levels[method] = *level;
+    }
+}
+
 std::set<MethodId> Outbox::methods_at(const Proxy& proxy, TableId table) const {
     std::set<MethodId> methods;
     for (const auto& [method, bound] : proxy.bound) {
--- a/src/outbox/outbox.hpp
+++ b/src/outbox/outbox.hpp
@@ -17,7 +17,7 @@
     explicit Outbox(std::size_t methods) : methods_(methods) {}
 
     void heard(const event::List& list);
-    void joined(ProxyId proxy);
+    void joined(ProxyId proxy);  // after left(), where it was here
     void left(ProxyId proxy);
     void answered(ProxyId proxy, MarkId mark);
 
@@ -57,7 +57,9 @@
     void apply(const Other&) {}
 
     Letter& letter_to(ProxyId proxy);
-    Letter::Table& table_in(Letter& letter, const Proxy& proxy, TableId table);
+    Letter::Table& table_in(Letter& letter, const std::set<MethodId>& methods);
+    // After `full`, which forgets them.
+    void begin_levels(Letter& letter, const Table& table, const std::set<MethodId>& methods) const;
     std::set<MethodId> methods_at(const Proxy& proxy, TableId table) const;
     std::set<MethodId> all_if_none(const std::vector<MethodId>& methods) const;
     bool holds(const Proxy& proxy, const ServerId& server) const;
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -60,12 +60,10 @@
         if (begun.stream < old->second) return outlet_.close(begun.stream);
         log_.info("proxy {}: a new stream replaces its old one", proxy.value);
         outlet_.close(old->second);
-        proxies_.erase(old->second);
-        outbox_.left(proxy);
-        planner_.hear(event::ProxyLeft{proxy});
+        leave(proxy, old->second);
     }
     log_.info("proxy {} joined from {}, about {} RPCs a second{}", proxy.value,
-              names_.zones[static_cast<std::size_t>(begun.joined.zone.value)], begun.joined.rpcs_per_second,
+              names_.zone(begun.joined.zone), begun.joined.rpcs_per_second,
               begun.joined.standing_only ? ", with a table of its start" : "");
     streams_[proxy] = begun.stream;
     proxies_[begun.stream] = proxy;
@@ -84,7 +82,11 @@
     if (at == proxies_.end()) return;
     const ProxyId proxy = at->second;
     log_.info("proxy {} left: {}", proxy.value, ended.why);
-    proxies_.erase(at);
+    leave(proxy, ended.stream);
+}
+
+void Core::leave(ProxyId proxy, StreamId stream) {
+    proxies_.erase(stream);
     streams_.erase(proxy);
     outbox_.left(proxy);
     planner_.hear(event::ProxyLeft{proxy});
@@ -147,8 +149,7 @@
         for (const MethodId method : level->methods) {
             double& last = levels_.try_emplace(method, 1).first->second;
             if (std::exchange(last, level->amount) == level->amount) continue;
-            log_.info("level of {}: {:.2f}", names_.methods[static_cast<std::size_t>(method.value)],
-                      level->amount);
+            log_.info("level of {}: {:.2f}", names_.method(method), level->amount);
         }
     } else if (const auto* withdrawal = std::get_if<order::Withdraw>(&order)) {
         log_.info("server {} is {}", withdrawal->server.value, withdrawal->out ? "withdrawn" : "let back");
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -38,6 +38,7 @@
     void hear(arrival::WatchLost&);
     void hear(arrival::ProbeEnded& ended);
     void hear(arrival::Stop&) { stopping_ = true; }
+    void leave(ProxyId proxy, StreamId stream);
     void carry_out(const Order& order, Instant now);
 
     const Names names_;
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -1,10 +1,11 @@
 #include "planner/start_file.hpp"
 
-#include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "protocol/whole_number.hpp"
+
 namespace micaroad {
 namespace {
 
@@ -31,10 +32,7 @@
     if (seed.is_number_unsigned()) return seed.get<std::uint64_t>();
     const std::string text = seed.is_string() ? seed.get<std::string>() : "";
     std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
-    if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
-        throw BadStart("'seed' is no hexadecimal number");
-    }
+    if (!protocol::read_whole(text, value, 16)) throw BadStart("'seed' is no hexadecimal number");
     return value;
 }
 
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <limits>
 
+#include "protocol/whole_number.hpp"
+
 namespace micaroad::protocol {
 namespace {
 
@@ -23,8 +25,7 @@
 }
 
 bool read_size(std::string_view text, int base, std::uint64_t& value) {
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-    return error == std::errc{} && end == text.data() + text.size() && value <= kLargestPiece;
+    return read_whole(text, value, base) && value <= kLargestPiece;
 }
 
 }  // namespace
--- a/src/protocol/json_cursor.cpp
+++ b/src/protocol/json_cursor.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "protocol/whole_number.hpp"
+
 namespace micaroad::protocol {
 namespace {
 
@@ -64,8 +66,7 @@
 unsigned JsonCursor::hex4() {
     unsigned code = 0;
     const std::string_view digits = text_.substr(at_, 4);
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), code, 16);
-    if (error != std::errc{} || end != digits.data() + 4) fail();
+    if (digits.size() != 4 || !read_whole(digits, code, 16)) fail();
     at_ += 4;
     return code;
 }
--- a/src/protocol/json_cursor.hpp
+++ b/src/protocol/json_cursor.hpp
@@ -7,9 +7,7 @@
 namespace micaroad::protocol {
 
 // Any call throws JsonFault where the text is not what was asked for.
-struct JsonFault {
-    std::size_t at = 0;
-};
+struct JsonFault {};
 
 class JsonCursor {
  public:
@@ -45,7 +43,7 @@
     bool leave(char bracket, bool first);
     void expect(char c);
     bool word(std::string_view text);
-    [[noreturn]] void fail() const { throw JsonFault{at_}; }
+    [[noreturn]] void fail() const { throw JsonFault{}; }
     unsigned hex4();
 
     std::string_view text_;
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -10,7 +10,23 @@
 namespace micaroad::protocol {
 
 enum class LineFault { none, too_long, no_carriage_return, nul_byte, no_buffer, not_taken };
-const char* text_of(LineFault fault);
+inline const char* text_of(LineFault fault) {
+    switch (fault) {
+        case LineFault::none:
+            return "none";
+        case LineFault::too_long:
+            return "a line over 1 MiB";
+        case LineFault::no_carriage_return:
+            return "a line that ends without CR";
+        case LineFault::nul_byte:
+            return "a NUL byte";
+        case LineFault::no_buffer:
+            return "no buffer left for its line";
+        case LineFault::not_taken:
+            return "a message that can't be used";
+    }
+    return "?";
+}
 
 class LineReader {
  public:
--- a/src/protocol/message.cpp
+++ b/src/protocol/message.cpp
@@ -1,32 +1,13 @@
 #include "protocol/message.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <vector>
 
-#include "protocol/line_reader.hpp"
+#include "protocol/whole_number.hpp"
 
 namespace micaroad::protocol {
 
-const char* text_of(LineFault fault) {
-    switch (fault) {
-        case LineFault::none:
-            return "none";
-        case LineFault::too_long:
-            return "a line over 1 MiB";
-        case LineFault::no_carriage_return:
-            return "a line that ends without CR";
-        case LineFault::nul_byte:
-            return "a NUL byte";
-        case LineFault::no_buffer:
-            return "no buffer left for its line";
-        case LineFault::not_taken:
-            return "a message that can't be used";
-    }
-    return "?";
-}
-
 namespace {
 
 constexpr std::size_t kMostWords = 32;
@@ -61,12 +42,12 @@
     }
     double figure(const char* name) const {
         double value = -1;
-        if (!read_all(text(name), value) || !(value >= 0 && value <= kLargest)) throw bad(name);
+        if (!read_whole(text(name), value) || !(value >= 0 && value <= kLargest)) throw bad(name);
         return value;
     }
     int whole(const char* name, int below) const {
         int value = -1;
-        if (!read_all(text(name), value) || value < 0 || value >= below) throw bad(name);
+        if (!read_whole(text(name), value) || value < 0 || value >= below) throw bad(name);
         return value;
     }
     Span span(const char* name) const { return Span{std::llround(figure(name) * 10)}; }
@@ -78,11 +59,6 @@
 
  private:
     static Unreadable bad(const char* name) { return {std::string("bad value of ") + name}; }
-    template <class Number>
-    static bool read_all(std::string_view text, Number& value) {
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        return error == std::errc{} && end == text.data() + text.size();
-    }
     static std::string_view cut(std::string_view& line) {
         const std::size_t space = std::min(line.find(' '), line.size());
         const std::string_view word = line.substr(0, space);
--- a/src/protocol/push_writer.cpp
+++ b/src/protocol/push_writer.cpp
@@ -18,9 +18,7 @@
 
 std::string routes_of(const std::set<MethodId>& methods, const Names& names) {
     std::string routes;
-    for (const MethodId method : methods) {
-        routes += (routes.empty() ? "" : "+") + names.methods.at(static_cast<std::size_t>(method.value));
-    }
+    for (const MethodId method : methods) { routes += (routes.empty() ? "" : "+") + names.method(method); }
     return routes;
 }
 
@@ -29,9 +27,10 @@
  public:
     explicit Parts(std::size_t longest) : room_(longest - kTail.size() - 2) {}
 
-    void open(std::string lead) {
+    // `once` stands in this part alone, `lead` in those that go on with it too.
+    void open(std::string lead, std::string_view once = "") {
         lead_ = std::move(lead);
-        parts_.push_back("push" + lead_);
+        (parts_.emplace_back("push") += lead_) += once;
     }
     void word(const std::string& text) {
         if (parts_.back().size() + 1 + text.size() > room_) go_on();
@@ -40,15 +39,9 @@
     // One more member of the list `name`.
     void member(const char* name, const std::string& text) {
         const std::string start = fmt::format(" {}=", name);
-        if (list_ != name || parts_.size() != list_part_) {
-            if (parts_.back().size() + start.size() + text.size() > room_) go_on();
-            parts_.back() += start + text;
-        } else if (parts_.back().size() + 1 + text.size() > room_) {
-            go_on();
-            parts_.back() += start + text;
-        } else {
-            parts_.back() += ',' + text;
-        }
+        std::string more = list_ == name && parts_.size() == list_part_ ? ',' + text : start + text;
+        if (parts_.back().size() + more.size() > room_) go_on(), more = start + text;
+        parts_.back() += more;
         list_ = name, list_part_ = parts_.size();
     }
     bool none() const { return parts_.empty(); }
@@ -64,10 +57,7 @@
 
  private:
     static constexpr std::string_view kTail = " continued=1";
-    void go_on() {
-        if (const auto full = lead_.find(" full=1"); full != std::string::npos) lead_.erase(full, 7);
-        open(lead_);
-    }
+    void go_on() { open(lead_); }
 
     const std::size_t room_;
     std::vector<std::string> parts_;
@@ -81,12 +71,8 @@
     Parts parts(longest);
     std::map<Letter::Level, std::set<MethodId>> levels;
     for (const auto& [method, level] : letter.levels) levels[level].insert(method);
-    const auto write_level = [&parts](const Letter::Level& level) {
-        parts.word(
-            fmt::format("admit={} policy={}", figure(level.amount), static_cast<int>(level.further_tries)));
-    };
     for (const Letter::Table& table : letter.tables) {
-        parts.open(fmt::format(" routes={}{}", routes_of(table.methods, names), table.full ? " full=1" : ""));
+        parts.open(" routes=" + routes_of(table.methods, names), table.full ? " full=1" : "");
         for (const auto& [server, weight] : table.lines) {
             parts.member("endpoints", fmt::format("{}:{}", server.value, figure(weight)));
         }
@@ -96,7 +82,8 @@
         if (letter.tables.size() != 1 || letter.tables.front().methods != methods) {
             parts.open(" routes=" + routes_of(methods, names));
         }
-        write_level(level);
+        parts.word(
+            fmt::format("admit={} policy={}", figure(level.amount), static_cast<int>(level.further_tries)));
     }
     if (parts.none()) parts.open("");
     for (const bool out : {true, false}) {
--- a/src/protocol/server_list.cpp
+++ b/src/protocol/server_list.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 #include "protocol/json_cursor.hpp"
 
@@ -19,9 +18,9 @@
 }
 
 int place_of(std::vector<std::string>& names, const std::string& name) {
-    const auto at = std::find(names.begin(), names.end(), name);
-    if (at == names.end() && names.size() < 4096) names.push_back(name);
-    return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+    const auto place = std::find(names.begin(), names.end(), name) - names.begin();
+    if (place == std::ssize(names) && names.size() < 4096) names.push_back(name);
+    return static_cast<int>(place);
 }
 
 std::optional<Phase> phase_of(const std::string& state) {
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -12,9 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::int64_t kMicrosPerUnit = 100;  // a Span counts tenths of a millisecond
-
-Span span_of(std::int64_t micros) { return Span{micros / kMicrosPerUnit}; }
 Instant instant_of(std::int64_t micros) { return Instant{span_of(micros)}; }
 
 // The values of a message, in order; those past the end or null are the type's default.
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -8,8 +8,6 @@
 
 using nlohmann::json;
 
-constexpr std::int64_t kMicrosPerUnit = 100;  // a Span counts tenths of a millisecond
-
 // The value under a key, or the fallback where it is absent or null.
 template <class T>
 T value_or(const json& object, const char* key, T fallback) {
@@ -18,8 +16,7 @@
 }
 Span span_or(const json& object, const char* key, Span fallback = Span{}) {
     const auto found = object.find(key);
-    return found == object.end() || found->is_null() ? fallback
-                                                     : Span{found->get<std::int64_t>() / kMicrosPerUnit};
+    return found == object.end() || found->is_null() ? fallback : span_of(found->get<std::int64_t>());
 }
 json part_of(const json& object, const char* key) { return value_or(object, key, json::object()); }
 
