A connection's messages say why they can't be used, so no reason outlives its check

Each take() now returns its reason or nothing. The crew is the connection's, not a parameter of every overload, of which one used it; the door sheds a stranger without letting go of its mutex in between. Tests differ in how they make a connection only.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -6,15 +6,22 @@
 
 using std::chrono::steady_clock;
 
-Connection::Connection(House& house, StreamId id, Socket socket, std::string peer)
+namespace {
+
+constexpr const char* kSecondRole = "a role on top of another";
+
+}  // namespace
+
+Connection::Connection(House& house, Crew& crew, StreamId id, Socket socket, std::string peer)
     : house_(house),
+      crew_(crew),
       id_(id),
       socket_(std::move(socket)),
       peer_(std::move(peer)),
       heard_(steady_clock::now()) {}
 
-void Connection::read(Crew& crew) {
-    const std::string why = read_to_end(crew);
+void Connection::read() {
+    const std::string why = read_to_end();
     close();
     if (role_ == Role::stream)
         house_.inbox.put(arrival::StreamEnded{id_, why});
@@ -24,11 +31,10 @@
         house_.log.info("stranger {}: ended, {}", peer_, why);
 }
 
-std::string Connection::read_to_end(Crew& crew) {
+std::string Connection::read_to_end() {
     protocol::Pool::Lease buffer = house_.reading.take();
     if (!buffer) return "no buffer left";
     protocol::LineReader lines(house_.reading);
-    std::string why;
     socket_.set_up(kKernelSend, kKernelReceive);
     socket_.wait_at_most(kStrangerPatience);
     for (;;) {
@@ -39,71 +45,65 @@
         if (role_ == Role::stranger && silent >= kStrangerPatience) return "it said nothing in time";
         if (role_ == Role::collector && silent >= kCollectorPatience) return "it fell silent";
         if (got == -2) continue;
+        std::string why;
         const auto fault = lines.feed({buffer->data(), static_cast<std::size_t>(got)},
-                                      [&](std::string_view line) { return take(line, crew, why); });
+                                      [&](std::string_view line) { return (why = take(line)).empty(); });
         if (fault != protocol::LineFault::none) {
-            if (fault != protocol::LineFault::not_taken) why = protocol::text_of(fault);
+            if (why.empty()) why = protocol::text_of(fault);
             house_.log.warn("{} sent what can't be used: {}", peer_, why);
             return why;
         }
     }
 }
 
-bool Connection::take(std::string_view line, Crew& crew, std::string& why) {
+std::string Connection::take(std::string_view line) {
     const auto read = protocol::read_message(line, house_.names, house_.proxies);
-    if (const auto* unreadable = std::get_if<protocol::Unreadable>(&read)) {
-        why = unreadable->why;
-        return false;
-    }
+    if (const auto* unreadable = std::get_if<protocol::Unreadable>(&read)) return unreadable->why;
     heard_ = steady_clock::now();
-    return std::visit([&](const auto& said) { return take(said, crew, why); },
-                      std::get<protocol::Message>(read));
+    return std::visit([&](const auto& said) { return take(said); }, std::get<protocol::Message>(read));
 }
 
-bool Connection::take(const protocol::AliveAsked&, Crew&, std::string& why) {
-    why = "it does not read";
-    return role_ == Role::stream ? post(protocol::kAlive) == Posted::yes : socket_.send_now(protocol::kAlive);
+std::string Connection::take(const protocol::AliveAsked&) {
+    const bool sent =
+        role_ == Role::stream ? post(protocol::kAlive) == Posted::yes : socket_.send_now(protocol::kAlive);
+    return sent ? "" : "it does not read";
 }
 
-bool Connection::take(const protocol::CollectorNamed& named, Crew&, std::string& why) {
-    why = "a role on top of another";
-    if (role_ != Role::stranger) return false;
+std::string Connection::take(const protocol::CollectorNamed& named) {
+    if (role_ != Role::stranger) return kSecondRole;
     role_ = Role::collector;
     house_.log.info("collector {} speaks for {}", peer_, house_.names.zone(named.zone));
-    return true;
+    return {};
 }
 
-bool Connection::take(const event::ProxyJoined& joined, Crew& crew, std::string& why) {
-    why = "a role on top of another";
-    if (role_ != Role::stranger) return false;
-    why = "no thread left for its writer";
-    if (!crew.start([self = shared_from_this()] { self->write_on(); })) return false;
+std::string Connection::take(const event::ProxyJoined& joined) {
+    if (role_ != Role::stranger) return kSecondRole;
+    if (!crew_.start([self = shared_from_this()] { self->write_on(); }))
+        return "no thread left for its writer";
     role_ = Role::stream;
     proxy_ = joined.proxy;
     socket_.wait_at_most(std::chrono::milliseconds{0});
     house_.inbox.put(arrival::StreamBegun{id_, joined});
-    return true;
+    return {};
 }
 
-bool Connection::take(const event::MarkApplied& applied, Crew&, std::string& why) {
-    why = "an answer that is not this proxy's";
-    if (role_ != Role::stream || applied.proxy != proxy_) return false;
+std::string Connection::take(const event::MarkApplied& applied) {
+    if (role_ != Role::stream || applied.proxy != proxy_) return "an answer that is not this proxy's";
     house_.inbox.put(arrival::StreamAnswered{id_, applied});
-    return true;
+    return {};
 }
 
-bool Connection::take(const event::Outcomes& met, Crew&, std::string& why) {
-    why = "outcomes from what is no collector";
-    if (role_ != Role::collector) return false;
+std::string Connection::take(const event::Outcomes& met) {
+    if (role_ != Role::collector) return "outcomes from what is no collector";
     house_.inbox.put(arrival::Reported{met});
-    return true;
+    return {};
 }
 
-bool Connection::take(const event::Arrivals& came, Crew&, std::string& why) {
-    why = "usage from what is neither a collector nor that proxy";
-    if (role_ == Role::stranger || (role_ == Role::stream && came.proxy != proxy_)) return false;
+std::string Connection::take(const event::Arrivals& came) {
+    if (role_ == Role::stranger || (role_ == Role::stream && came.proxy != proxy_))
+        return "usage from what is neither a collector nor that proxy";
     house_.inbox.put(arrival::Reported{came});
-    return true;
+    return {};
 }
 
 Connection::Posted Connection::post(std::string_view message) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -41,9 +41,9 @@
     static constexpr int kKernelSend = 64 * 1024,
                          kKernelReceive = 16 * 1024;  // the kernel takes twice as much
 
-    Connection(House& house, StreamId id, Socket socket, std::string peer);
+    Connection(House& house, Crew& crew, StreamId id, Socket socket, std::string peer);
 
-    void read(Crew& crew);  // until the end; run by a thread of its own
+    void read();  // until the end; run by a thread of its own
     enum class Posted { yes, not_read, no_buffer };
     Posted post(std::string_view message);  // any thread, never waits
     std::size_t unread();
@@ -52,17 +52,19 @@
     StreamId id() const { return id_; }
 
  private:
-    std::string read_to_end(Crew& crew);  // why it ended
-    bool take(std::string_view line, Crew& crew, std::string& why);
-    bool take(const protocol::AliveAsked&, Crew& crew, std::string& why);
-    bool take(const protocol::CollectorNamed& named, Crew& crew, std::string& why);
-    bool take(const event::ProxyJoined& joined, Crew& crew, std::string& why);
-    bool take(const event::MarkApplied& applied, Crew& crew, std::string& why);
-    bool take(const event::Outcomes& met, Crew& crew, std::string& why);
-    bool take(const event::Arrivals& came, Crew& crew, std::string& why);
+    std::string read_to_end();  // why it ended
+    // Why it can't be used; empty: it was taken.
+    std::string take(std::string_view line);
+    std::string take(const protocol::AliveAsked&);
+    std::string take(const protocol::CollectorNamed& named);
+    std::string take(const event::ProxyJoined& joined);
+    std::string take(const event::MarkApplied& applied);
+    std::string take(const event::Outcomes& met);
+    std::string take(const event::Arrivals& came);
     void write_on();
 
     House& house_;
+    Crew& crew_;
     const StreamId id_;
     const Socket socket_;
     const std::string peer_;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -45,7 +45,10 @@
         } else if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM) {
             // The connection waits in the backlog; a stranger's end makes room for it.
             house_.log.warn("no connection can be taken: {}", std::strerror(error));
-            shed_stranger();
+            {
+                const std::lock_guard lock(mutex_);
+                shed_stranger();
+            }
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         } else if (error == EINVAL || error == EBADF) {
             return;
@@ -55,18 +58,14 @@
 
 void Door::take(Socket socket, const Address& from) {
     std::unique_lock lock(mutex_);
-    if (connections_.size() >= most_) {
-        lock.unlock();
-        if (!shed_stranger())
-            return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
-        lock.lock();
-    }
+    if (connections_.size() >= most_ && !shed_stranger())
+        return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
     const StreamId id{next_++};
-    const auto connection = std::make_shared<Connection>(house_, id, std::move(socket), text_of(from));
+    const auto connection = std::make_shared<Connection>(house_, crew_, id, std::move(socket), text_of(from));
     connections_[id] = connection;
     lock.unlock();
     const bool started = crew_.start([this, connection] {
-        connection->read(crew_);
+        connection->read();
         const std::lock_guard gone(mutex_);
         connections_.erase(connection->id());
     });
@@ -76,9 +75,7 @@
     connections_.erase(id);
 }
 
-// False if there is none.
 bool Door::shed_stranger() {
-    const std::lock_guard lock(mutex_);
     for (auto at = connections_.begin(); at != connections_.end(); ++at) {
         if (at->second->role() != Role::stranger) continue;
         at->second->close();
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -27,7 +27,7 @@
 
     void accept_on();
     void take(Socket socket, const Address& from);
-    bool shed_stranger();
+    bool shed_stranger();  // under the mutex; false if there is none
     bool shed_unread();
     std::shared_ptr<Connection> find(StreamId stream);
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -85,8 +85,8 @@
         int ends[2];
         REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
         peer = Socket(ends[1]);
-        connection = std::make_shared<Connection>(shared, StreamId{1}, Socket(ends[0]), "peer");
-        REQUIRE(crew.start([this] { connection->read(crew); }));
+        connection = std::make_shared<Connection>(shared, crew, StreamId{1}, Socket(ends[0]), "peer");
+        REQUIRE(crew.start([this] { connection->read(); }));
     }
     ~Pair() { connection->close(), crew.wait(); }
 };
