SIGHUP is an arrival: the list is followed at the new address, streams and marks stand

Ruled out: the list itself, which the watch keeps across breaks.

Now the ear thread takes SIGHUP, the file's discovery goes before LB_DISCOVERY, the new address is dialled at once and the old watch is held until the new one has spoken; a list that counts anew is fetched whole and brings back no server removed within a minute. A file that can't be used changes nothing, one line says why.

--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -1,8 +1,10 @@
-// Follows discovery's list on one connection, and opens it anew whenever it breaks or falls silent.
+// Follows discovery's list on one connection, and opens it anew whenever it breaks or falls silent. Told
+// another address it dials that at once, and holds on to the old one until the new one has spoken.
 #pragma once
 
 #include <chrono>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <string>
 
@@ -31,27 +33,39 @@
     bool start();
     void stop();
     void fetch();  // the whole list, once more
+    void follow(std::string host, Address address);
 
  private:
-    void watch_on();
-    bool wants_fetch();                                          // or the end
-    std::string follow(const std::string& target, bool& heard);  // until it breaks: why
-    bool take(std::string_view line);
-    bool pause(std::chrono::milliseconds time);  // false: it is to end
-
-    const std::string host_;
-    const Address address_;
+    // An address and its turn: of those that were followed, the later one holds once it has spoken.
+    struct Source {
+        std::string host;
+        Address address;
+        int turn = 0;
+    };
+    static constexpr std::size_t kMostSources = 8;  // each ends within a connection's patience when left
+
+    void watch_on(const Source& source);
+    bool over(int turn) const;   // under the mutex: it is to end
+    bool wants_fetch(int turn);  // or the end
+    std::string listen_to(const Source& source, const std::string& target,
+                          bool& heard);  // until it breaks: why
+    bool speaks(const Source& source);  // under the mutex; false: a later one has, so this one counts no more
+    bool take(const Source& source, std::string_view line);
+    bool pause(int turn, std::chrono::milliseconds time);  // false: it is to end
+
     const Patience patience_;
-    protocol::ListReader reader_;
-    std::int64_t version_;
     protocol::Pool& pool_;
     Inbox& inbox_;
     Log& log_;
     std::mutex mutex_;
     std::condition_variable wake_;
-    const Socket* live_ = nullptr;
+    protocol::ListReader reader_;
+    Source newest_;
+    int spoken_ = 0;  // the latest turn that has
+    std::int64_t version_;
+    std::map<int, const Socket*> live_;  // by turn
     bool stopping_ = false, fetch_ = false;
-    Crew crew_{1};
+    Crew crew_{kMostSources};
 };
 
 }  // namespace micaroad::net
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -30,6 +30,8 @@
 }
 
 void Core::turn(std::vector<Inbox::Item>& items, Instant now) {
+    now_ = now;
+    std::erase_if(removed_, [now](const auto& removed) { return now - removed.second > kRemovedStands; });
     for (auto& item : items) std::visit([this](auto& arrived) { hear(arrived); }, item.arrival);
     for (; !timers_.empty() && timers_.begin()->first <= now; timers_.erase(timers_.begin())) {
         planner_.hear(event::TimerDue{timers_.begin()->second});
@@ -101,8 +103,11 @@
     const bool complete = list.form == event::List::Form::complete;
     if (!complete && version <= version_) {
         if (list.servers.empty()) return;
-        return log_.warn("discovery: changes of version {} dropped, {} is held", version, version_);
+        log_.warn("discovery: changes of version {} dropped, {} is held", version, version_);
+        // Either they came twice, or discovery counts anew: the whole list tells.
+        return version < version_ ? outlet_.fetch_list() : void();
     }
+    if (complete && version < version_) drop_removed(list);
     version_ = version;
     // What was known of a server stands where its new entry can't be used: it is listed all the same.
     for (const auto& [server, why] : dropped) {
@@ -112,10 +117,13 @@
         list.servers.push_back(old->second.entry);
         addresses[server] = old->second.address;
     }
-    if (complete) held_.clear();
+    for (const ServerId& server : complete ? missing_in(list) : std::vector<ServerId>{}) {
+        held_.erase(server);
+        removed_[server] = now_;
+    }
     for (const ListedServer& server : list.servers) {
         if (server.phase == Phase::gone)
-            held_.erase(server.server);
+            held_.erase(server.server), removed_[server.server] = now_;
         else
             held_[server.server] = {server, addresses[server.server]};
         if (!complete) log_.info("server {} is {}", server.server.value, name_of(server.phase));
@@ -126,6 +134,25 @@
     planner_.hear(std::move(list));
 }
 
+std::vector<ServerId> Core::missing_in(const event::List& list) const {
+    std::vector<ServerId> missing;
+    for (const auto& [id, held] : held_) {
+        const auto is_it = [&id](const ListedServer& server) { return server.server == id; };
+        if (std::none_of(list.servers.begin(), list.servers.end(), is_it)) missing.push_back(id);
+    }
+    return missing;
+}
+
+void Core::drop_removed(event::List& list) {
+    std::erase_if(list.servers, [this](const ListedServer& server) {
+        const auto at = removed_.find(server.server);
+        const bool stands = at != removed_.end() && server.last_start.value_or(Instant{}) < at->second;
+        if (stands)
+            log_.warn("discovery: {} was removed, an older list does not bring it back", server.server.value);
+        return stands;
+    });
+}
+
 // Where a planner must ask for the list, the module asks again; elsewhere the watch comes back by itself.
 void Core::hear(arrival::WatchLost&) {
     if (subscribed_) planner_.hear(event::List{event::List::Form::unavailable, {}});
@@ -137,6 +164,15 @@
     }
 }
 
+// A reload changes where the list comes from, and nothing that is held.
+void Core::hear(arrival::Reloaded& reloaded) {
+    const auto& [discovery, unheeded] = reloaded.reread;
+    log_.info("reload: discovery is at {}", discovery);
+    for (const std::string& key : unheeded)
+        log_.warn("reload: '{}' differs: it counts at the next start", key);
+    outlet_.follow(discovery);
+}
+
 void Core::carry_out(const Order& order, Instant now) {
     if (const auto* timer = std::get_if<order::StartTimer>(&order)) {
         timers_.emplace(now + timer->after, timer->timer);
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -35,12 +35,17 @@
     void hear(arrival::StreamEnded& ended);
     void hear(arrival::Reported& reported);
     void hear(arrival::ListTold& told);
+    void drop_removed(event::List& list);
+    std::vector<ServerId> missing_in(const event::List& list) const;
     void hear(arrival::WatchLost&);
     void hear(arrival::ProbeEnded& ended);
+    void hear(arrival::Reloaded& reloaded);
     void hear(arrival::Stop&) { stopping_ = true; }
     void leave(ProxyId proxy, StreamId stream);
     void carry_out(const Order& order, Instant now);
 
+    // A list of an older version that names a server removed so lately is out of date; the removal stands.
+    static constexpr Span kRemovedStands = std::chrono::seconds(60);
     const Names names_;
     const bool subscribed_;
     Outlet& outlet_;
@@ -52,10 +57,12 @@
     std::map<ServerId, Held> held_;  // the list, without what is gone
     std::set<ServerId> probed_;      // an answer is awaited
     std::int64_t version_ = -1;
+    std::map<ServerId, Instant> removed_;  // not long ago
     std::multimap<Instant, TimerId> timers_;
     std::map<MethodId, double> levels_;  // as last ordered, for the log
     std::set<std::size_t> unserved_;     // kinds of order that were logged as such
     bool stopping_ = false;
+    Instant now_{};
     struct {
         Instant since{};
         Span longest{}, sum{};
--- a/src/planner/main.cpp
+++ b/src/planner/main.cpp
@@ -28,17 +28,17 @@
     // One core: more arenas would only hold memory.
     mallopt(M_ARENA_MAX, 1);
     signal(SIGPIPE, SIG_IGN);
-    sigset_t ends;
-    sigemptyset(&ends);
-    sigaddset(&ends, SIGTERM);
-    sigaddset(&ends, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    // Blocked before any thread starts: only the ear below takes them.
+    sigset_t heard;
+    sigemptyset(&heard);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&heard, signal);
+    pthread_sigmask(SIG_BLOCK, &heard, nullptr);
     micaroad::Log log(STDERR_FILENO);
     try {
         micaroad::Program program(micaroad::read_start_file(std::getenv), clock_from_now(), log);
-        std::thread ear([&ends, &program] {
+        std::thread ear([&heard, &program] {
             int signal = 0;
-            sigwait(&ends, &signal);
+            while (sigwait(&heard, &signal) == 0 && signal == SIGHUP) program.reload(std::getenv);
             program.stop();
         });
         const int code = program.run();
--- a/src/planner/ports.hpp
+++ b/src/planner/ports.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "micaroad/planner.hpp"
 #include "protocol/server_list.hpp"
@@ -13,6 +14,12 @@
 // A connection, in the order in which they were taken: of two that speak for one proxy the later one holds.
 using StreamId = Id<struct StreamTag, std::uint64_t>;
 
+// What a new reading of the start file says. The rest of it counts at the next start.
+struct Reread {
+    std::string discovery;
+    std::vector<std::string> unheeded;  // keys that differ from the start's
+};
+
 namespace arrival {
 struct StreamBegun {
     StreamId stream;
@@ -36,12 +43,15 @@
 struct ProbeEnded {
     event::Probed probed;
 };
+struct Reloaded {
+    Reread reread;
+};
 struct Stop {};
 }  // namespace arrival
 
-using Arrival =
-    std::variant<arrival::StreamBegun, arrival::StreamAnswered, arrival::StreamEnded, arrival::Reported,
-                 arrival::ListTold, arrival::WatchLost, arrival::ProbeEnded, arrival::Stop>;
+using Arrival = std::variant<arrival::StreamBegun, arrival::StreamAnswered, arrival::StreamEnded,
+                             arrival::Reported, arrival::ListTold, arrival::WatchLost, arrival::ProbeEnded,
+                             arrival::Reloaded, arrival::Stop>;
 
 // Where the core's words go. No call waits for a peer.
 class Outlet {
@@ -51,6 +61,7 @@
     virtual void close(StreamId stream) = 0;
     virtual void probe(const ServerId& server, const std::string& address) = 0;
     virtual void fetch_list() = 0;
+    virtual void follow(const std::string& discovery) = 0;  // from now on at this address
 };
 
 }  // namespace micaroad
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -52,6 +52,16 @@
 
 void Program::stop() { inbox_.put(arrival::Stop{}); }
 
+void Program::reload(const Environment& environment) try {
+    Reread reread = reread_start_file(environment, start_);
+    (void)address_or_throw(reread.discovery, "discovery");
+    inbox_.put(arrival::Reloaded{std::move(reread)});
+} catch (const std::exception& bad) { log_.error("reload: nothing is changed: {}", bad.what()); }
+
+void Program::follow(const std::string& discovery) {
+    watch_.follow(discovery, address_or_throw(discovery, "discovery"));
+}
+
 // Nobody is told `alive` before the module has heard the list it is to begin with.
 bool Program::begin_serving(std::string& why) {
     enter(Stage::hearing_known);
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -23,6 +23,8 @@
     // Serves until stop() is called, by any thread. The program's exit code.
     int run();
     void stop();
+    // Reads the start file again, on the caller's thread. One that can't be used changes nothing.
+    void reload(const Environment& environment);
     Stage stage() const { return stage_; }
     net::Address address() const { return door_.address(); }
 
@@ -38,6 +40,7 @@
     void close(StreamId stream) override { door_.close(stream); }
     void probe(const ServerId& server, const std::string& address) override { prober_.ask(server, address); }
     void fetch_list() override { watch_.fetch(); }
+    void follow(const std::string& discovery) override;
     void enter(Stage stage);
     bool begin_serving(std::string& why);
     void decide_on();
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -36,12 +36,37 @@
     return value;
 }
 
+// What only a start can bring in. Neither the seed nor the known list is meant to stay as it was.
+std::map<std::string, std::string> rest_of(const json& file) {
+    std::map<std::string, std::string> rest;
+    for (const char* key : {"name", "listen", "limits", "settings"}) {
+        if (const auto found = file.find(key); found != file.end()) rest[key] = found->dump();
+    }
+    return rest;
+}
+
+json object_of(const std::string& text) {
+    json file = json::parse(text, nullptr, false);
+    if (!file.is_object()) throw BadStart("the start file holds no JSON object");
+    return file;
+}
+
+std::string text_of_file(const Environment& environment) {
+    const char* path = environment("LB_CONFIG");
+    if (!path || !*path) throw BadStart("LB_CONFIG is not set");
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file || text.str().empty()) throw BadStart(std::string("LB_CONFIG: ") + path + " can't be read");
+    return text.str();
+}
+
 }  // namespace
 
 StartFile read_start_text(const std::string& text, const Environment& environment) {
-    const json file = json::parse(text, nullptr, false);
-    if (!file.is_object()) throw BadStart("the start file holds no JSON object");
+    const json file = object_of(text);
     StartFile start;
+    start.rest = rest_of(file);
     start.name = text_from(environment, "LB_NAME", file, "name");
     start.listen = text_from(environment, "LB_LISTEN", file, "listen");
     start.discovery = text_from(environment, "LB_DISCOVERY", file, "discovery");
@@ -67,13 +92,22 @@
 }
 
 StartFile read_start_file(const Environment& environment) {
-    const char* path = environment("LB_CONFIG");
-    if (!path || !*path) throw BadStart("LB_CONFIG is not set");
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file || text.str().empty()) throw BadStart(std::string("LB_CONFIG: ") + path + " can't be read");
-    return read_start_text(text.str(), environment);
+    return read_start_text(text_of_file(environment), environment);
+}
+
+Reread reread_start_text(const std::string& text, const StartFile& start) {
+    const json file = object_of(text);
+    const auto no_variable = [](const char*) -> const char* { return nullptr; };
+    Reread reread{text_from(no_variable, "", file, "discovery"), {}};
+    for (const auto& [key, told] : rest_of(file)) {
+        const auto old = start.rest.find(key);
+        if (old == start.rest.end() || old->second != told) reread.unheeded.push_back(key);
+    }
+    return reread;
+}
+
+Reread reread_start_file(const Environment& environment, const StartFile& start) {
+    return reread_start_text(text_of_file(environment), start);
 }
 
 }  // namespace micaroad
--- a/src/planner/start_file.hpp
+++ b/src/planner/start_file.hpp
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <stdexcept>
 #include <string>
 
+#include "planner/ports.hpp"
 #include "protocol/server_list.hpp"
 #include "terms/terms.hpp"
 
@@ -23,6 +25,7 @@
     Terms terms;
     Names names;
     protocol::ListSaid known;
+    std::map<std::string, std::string> rest;  // keys that a new reading does not change, as they were told
 };
 
 using Environment = std::function<const char*(const char*)>;
@@ -30,4 +33,9 @@
 StartFile read_start_text(const std::string& text, const Environment& environment);  // throws BadStart
 StartFile read_start_file(const Environment& environment);                           // throws BadStart
 
+// The same file while the program serves. Its address of discovery counts, whatever LB_DISCOVERY held at the
+// start: a process can't be told a new variable.
+Reread reread_start_text(const std::string& text, const StartFile& start);         // throws BadStart
+Reread reread_start_file(const Environment& environment, const StartFile& start);  // throws BadStart
+
 }  // namespace micaroad
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -16,7 +16,10 @@
     void write(StreamId stream, std::string_view message) override { written[stream] += message; }
     void close(StreamId stream) override { closed.push_back(stream); }
     void probe(const ServerId&, const std::string&) override {}
-    void fetch_list() override {}
+    int fetched = 0;
+    std::string followed;
+    void fetch_list() override { ++fetched; }
+    void follow(const std::string& discovery) override { followed = discovery; }
 };
 
 struct Stage {
@@ -120,6 +123,27 @@
     CHECK(stage.core.stopping());
 }
 
+TEST_CASE("a reload asks for another discovery; lists that count anew lose no server and revive none") {
+    Stage stage;
+    stage.turn({Stage::told(test::kList), Stage::begun(1, 0), Stage::told(change(50, "removed"))});
+    CHECK(stage.names(1, "s-2:"));
+    stage.turn({arrival::Reloaded{{"127.0.0.1:9", {"limits"}}}});
+    CHECK(stage.ear.followed == "127.0.0.1:9");
+    stage.run(3'000);
+    CHECK(!stage.names(1, "eject=s-2"));
+    stage.turn({Stage::told(change(50, "up"))});
+    CHECK(stage.ear.fetched == 0);
+    stage.turn({Stage::told(change(3, "up"))});
+    CHECK(stage.ear.fetched == 1);
+    stage.turn({Stage::told(test::kList)});  // version 41, with the server that is gone
+    stage.run(3'000);
+    CHECK(!stage.names(1, "s-1:"));
+    const auto start = stage.clock.now().time_since_epoch().count() / 10;
+    stage.turn({Stage::told(change(42, "up", start))});
+    stage.run(20'000);
+    CHECK(stage.names(1, "s-1:"));
+}
+
 TEST_CASE("a start file is read, and what it lacks is named") {
     const auto none = [](const char*) -> const char* { return nullptr; };
     const std::string settings =
@@ -145,6 +169,15 @@
     for (const std::string key : {"name", "listen", "discovery", "seed", "limits", "known", "settings"}) {
         CHECK_THROWS_WITH(read_start_text(text(key), none), Catch::Contains(key));
     }
+    // Read again: discovery alone counts, before any variable; what else differs is named.
+    const Reread same = reread_start_text(text(), start);
+    CHECK((same.discovery == "127.0.0.1:1" && same.unheeded.empty()));
+    std::string other = text("known");
+    other.replace(other.find("127.0.0.1:1"), 11, "127.0.0.1:2").replace(other.find("1024"), 4, "2048");
+    const Reread reread = reread_start_text(other, start);
+    CHECK((reread.discovery == "127.0.0.1:2" && reread.unheeded == std::vector<std::string>{"limits"}));
+    CHECK_THROWS_AS(reread_start_text(other.substr(0, other.size() / 2), start), BadStart);
+    CHECK_THROWS_WITH(reread_start_text(text("discovery"), start), Catch::Contains("discovery"));
     CHECK_THROWS_AS(read_start_text("", none), BadStart);
     CHECK_THROWS_AS(read_start_text("{\"seed\":", none), BadStart);
     CHECK_THROWS_WITH(read_start_file(none), Catch::Contains("LB_CONFIG"));
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/un.h>
 
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <thread>
 
 #include "helpers.hpp"
@@ -263,6 +264,33 @@
     CHECK(discovery.asked[7] == "GET /catalog/members?stream=1&index=45 HTTP/1.1");
 }
 
+TEST_CASE_METHOD(Base, "told another discovery, the watch keeps the old one until the new one has spoken") {
+    Discovery old({kWatch + chunk(version(42))}), next_one({kWatch, kWatch + chunk(version(43))}), third({kWatch + chunk("\n")});
+    DiscoveryWatch::Patience patience;
+    patience.silence = 300ms;
+    DiscoveryWatch watch("old", old.listener.local(), names, 41, pool, inbox, quiet.log, patience);
+    old.begin(), next_one.begin(), third.begin();
+    REQUIRE(watch.start());
+    CHECK(next<arrival::ListTold>().said.version == 42);
+    watch.follow("next", next_one.listener.local());  // silent at first
+    while (next_one.open.empty()) std::this_thread::yield();
+    old.open[0].send_all(chunk("\n") + chunk(version(42)));
+    CHECK(next<arrival::ListTold>().said.version == 42);
+    // It falls silent as well, and the list is said to be without a watch; then the new one speaks.
+    std::int64_t last = 0;
+    while (last != 43) {
+        for (auto& item : inbox.wait(clock_now()() + Span{100'000}))
+            if (const auto* told = std::get_if<arrival::ListTold>(&item.arrival)) last = told->said.version;
+    }
+    CHECK(ended(old.open[0]));
+    // Two at once: the first of them is left before it has spoken.
+    watch.follow("nowhere", *address_of("127.0.0.1:1"));
+    watch.follow("third", third.listener.local());
+    CHECK(ended(next_one.open.back()));
+    watch.stop();
+    CHECK(third.all_asked().at(0) == "GET /catalog/members?stream=1&index=43 HTTP/1.1");
+}
+
 TEST_CASE_METHOD(Base, "the whole list is fetched when it is asked for") {
     Discovery discovery({kWatch + chunk(version(42)),
                          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(test::kList.size()) +
@@ -309,6 +337,25 @@
     proxy.send_all("probe\r\n" + kHello);
     CHECK(read_some(proxy, 7) == "alive\r\n");
     CHECK(read_some(proxy, 40).find("push routes=lookup+order full=1") == 0);
+    // A reload that can't be read leaves all as it was; a good one goes on at the new address.
+    const auto path = [](const char* name) { return std::string_view(name) == "LB_CONFIG" ? "reload.json" : nullptr; };
+    for (const std::string& text : {std::string("{\"discovery\":"), std::string(), std::string("{\"discovery\":7}")}) {
+        std::ofstream("reload.json") << text;
+        program.reload(path);
+    }
+    Discovery moved({kWatch + chunk(version(43))});
+    moved.begin();
+    for (int twice = 0; twice < 2; ++twice) {
+        std::ofstream("reload.json") << R"({"discovery":")" << text_of(moved.listener.local()) << "\"}";
+        program.reload(path);
+    }
+    CHECK(ended(discovery.open.at(0)));
+    proxy.send_all("probe\r\n");
+    for (std::string seen; seen.find("alive\r\n") == std::string::npos;) {
+        const std::string more = read_some(proxy, 1);
+        REQUIRE(more.size() == 1);
+        seen += more;
+    }
     StartFile other = start;
     other.listen = text_of(program.address());
     Program second(other, clock_now(), quiet.log);
