Three verdicts on lines, joining due from accept, room from both limits; the gone are forgotten

Checked: demand n=0 bad=1 is a good line, so failures are held against tries in outcomes alone;, 1e+30, -3, nan, s-zz and [1] are what spoilt ones hold.

Changed: parser's verdicts and bounds; deadline of 1.5 s from accept, 1 KiB a stranger's line, error and close, own number of strangers, oldest idle first; Limits; withdrawals repeated for two graces only, latest first; answered marks alone tell what has left; capacity of a server as its kind shows; a first ok answer ends a trial at once, trial share 0.25 as the design has it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -42,39 +42,35 @@
         if (note.entry.last_start && note.entry.last_start != self.entry.last_start) self = Standing{};
         self.entry = note.entry;
         if (!std::isfinite(self.entry.size) || self.entry.size <= 0) self.entry.size = 1;
-        self.open = self.entry.phase == Phase::ready;
-        tell();
+        self.open = self.entry.phase == Phase::ready, tell();
     }
 
     // Guards against a list that drops servers which run, where the terms say that this does not bind: what
     // still answers stays. It costs RPCs where one is truly gone.
     void on(const Unlisted&) {
         if (std::exchange(self.entry.phase, Phase::gone) == Phase::gone) return;
-        self.open = self.open && self.last_ok && desk.terms.dropped_may_serve;
-        tell();
+        self.open = self.open && self.last_ok && desk.terms.dropped_may_serve, tell();
     }
 
     void on(const event::Outcomes& met) {
         gate.inbox.push_back(Met{met, self.entry.zone});
         // Guards against reports of the life before a restart; it costs but a little evidence.
         if (!self.open || (self.entry.last_start && desk.now - met.over < *self.entry.last_start)) return;
-        self.tries += met.tries;
-        self.bad += met.bad;
+        self.tries += met.tries, self.bad += met.bad;
         self.answer_seconds += (met.tries - met.bad) * seconds(met.mean);
-        if (met.bad < met.tries) self.last_ok = desk.now;
+        if (met.bad < met.tries && !std::exchange(self.last_ok, desk.now)) tell();
     }
 
     void on(const Beat&) {
         self.window += seconds(desk.step);
-        const Span silent = desk.now - self.last_ok.value_or(Instant{});
-        const bool lost = self.entry.phase == Phase::gone && silent >= desk.terms.warm_after;
+        const bool lost = self.entry.phase == Phase::gone &&
+                          desk.now - self.last_ok.value_or(Instant{}) >= desk.terms.warm_after;
         if (std::exchange(self.open, self.open && !lost)) tell();
         for (double* sum : {&self.tries, &self.bad, &self.answer_seconds, &self.window}) *sum *= kMemory;
     }
 
     void tell() {
-        weigher.inbox.push_back(self);
-        keeper.inbox.push_back(self);
+        weigher.inbox.push_back(self), keeper.inbox.push_back(self);
     }
 };
 
@@ -116,14 +112,13 @@
         if (added) member.trusted = usual == 0, member.weight = member.share = Row(pools.size());
         // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
         if (note.open && !member.seen.open) member.weight = std::log(note.entry.size);
-        changed |= added || note.open != member.seen.open ||
+        const bool shown = note.last_ok && !std::exchange(member.trusted, member.trusted || note.last_ok);
+        changed |= added || shown || note.open != member.seen.open ||
                    note.entry.last_start != member.seen.entry.last_start;
         member.seen = note;
-        member.trusted |= note.last_ok.has_value();
     }
 
     void on(const Pulse&) { if (std::exchange(changed, false)) publish(); }
-
     void on(const event::ProxyJoined& note) { joined.insert(note.proxy); }
     void on(const event::ProxyLeft& note) { joined.erase(note.proxy); }
 
@@ -146,7 +141,7 @@
         // Slow to rise: the fewer servers are left, the more each is sent, but it can do no more than before.
         const double mean = total / row_of(open, [](const Member& m) { return m.seen.entry.size; }).sum();
         usual = usual == 0 ? mean : std::min(mean, usual * 1.1);
-        const Row capacity = rate + 1.0 / answer;
+        const Row capacity = able(open, rate, answer);
         Shares now(pools.size());  // as published
         for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
         const auto ahead = [&](const Shares& to, TailTerm tail) {
@@ -178,8 +173,8 @@
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
         for (std::size_t k = 0; k < pools.size() && here.cost - best > kLeastGain * here.cost; ++k) {
             for (std::size_t i = 0; i < open.size(); ++i) {
-                const double listed = std::log(open[i]->seen.entry.size);
-                open[i]->weight[k] = std::max(open[i]->weight[k] - c * downhill[k][i], listed + kLeast);
+                const double least = std::log(open[i]->seen.entry.size) + kLeast;
+                open[i]->weight[k] = std::max(open[i]->weight[k] - c * downhill[k][i], least);
             }
         }
         publish();
@@ -195,7 +190,7 @@
     static constexpr double kLeast = -3;  // a twentieth: what is never tried can't show that it recovered
     // RPCs that weigh as much as the kind's mean: answers vary four- to fivefold more than servers of a kind.
     static constexpr double kDoubt = 20, kDoubtBad = 10;  // failures are few where nothing is wrong
-    static constexpr double kTrial = 0.1;  // of a listed share: many must not cost much, one must be tried
+    static constexpr double kTrial = 0.25;  // the design's, of a listed share: many must not cost much
     static constexpr double kDeviations = 4;  // more comes by chance to one of hundreds in a day
 
     Members open_members() {
@@ -214,22 +209,26 @@
         if (open.empty() || pools.empty() || ok.sum() <= 0) return false;
         const double mean = answers.sum() / ok.sum();
         if (limit == 0) limit = std::max(shortest_soft_deadline(desk.terms), 2 * mean);
-        std::map<KindId, std::pair<double, double>> kinds;  // seconds and number of ok answers
-        for (std::size_t i = 0; i < open.size(); ++i) {
-            auto& [time, number] = kinds[open[i]->seen.entry.kind];
-            time += answers[i], number += ok[i];
-        }
+        const Row usual_here = (kind_sums(open, answers) + kDoubt * mean) / (kind_sums(open, ok) + kDoubt);
         const Row failing = (bad + kDoubtBad * bad.sum() / tries.sum()) / (tries + kDoubtBad);
-        answer = 2.0 * limit * failing;
-        for (std::size_t i = 0; i < open.size(); ++i) {
-            const auto& [time, number] = kinds[open[i]->seen.entry.kind];
-            const double usual_here = (time + kDoubt * mean) / (number + kDoubt);
-            answer[i] += (1 - failing[i]) * (answers[i] + kDoubt * usual_here) / (ok[i] + kDoubt);
-        }
+        answer = 2.0 * limit * failing + (1.0 - failing) * (answers + kDoubt * usual_here) / (ok + kDoubt);
         rate = tries / row_of(open, [](const Member& m) { return m.seen.window; }).max();
         return true;
     }
 
+    // The design's capacity is what a server has shown. One that is sent little shows little, and would stay
+    // small for it: it counts for what its kind shows, by size, less so far as it answers later.
+    static Row able(const Members& open, const Row& rate, const Row& answer) {
+        const Row tries = row_of(open, [](const Member& m) { return m.seen.tries + 1e-9; });
+        const Row size = row_of(open, [](const Member& m) { return m.seen.entry.size; });
+        const Row shown = rate + 1.0 / answer, all = kind_sums(open, tries);
+        const Row slower = kind_sums(open, tries * answer) / all / answer;  // under 1 where it is
+        Row like = size * kind_sums(open, tries * shown / size) / all;
+        for (std::size_t i = 0; i < like.size(); ++i) like[i] *= std::min(1.0, slower[i]);
+        like[like < shown] = Row(shown[like < shown]);
+        return like;
+    }
+
     double warmth(const Member& member) const {  // by age, 1: warm
         const auto& start = member.seen.entry.last_start;
         return start ? seconds(desk.now - *start) / seconds(desk.terms.warm_after) : 1;
@@ -269,8 +268,7 @@
             Row weight = row_of(open, [k](const Member& m) { return m.weight[k]; });
             if (!downhill.empty()) weight -= c * downhill[k];
             Row share = std::exp(weight - weight.max());
-            share[size == 0.0] = 0;
-            share /= share.sum();
+            share[size == 0.0] = 0, share /= share.sum();
             Row eased = share, free = share;
             for (std::size_t i = 0; i < open.size(); ++i) {
                 const double most = ceiling(*open[i], size[i] / size.sum());
@@ -291,8 +289,7 @@
             for (std::size_t i = 0; i < open.size(); ++i) open[i]->share[k] = share[k][i];
         }
         for (const auto& [id, member] : members) channel.inbox.push_back(Wish{id, member.share});
-        const auto cold = [this](const Member* member) { return warmth(*member) < 1; };
-        channel.inbox.push_back(Cold{std::any_of(open.begin(), open.end(), cold)});
+        channel.inbox.push_back(Cold{std::ranges::any_of(open, [&](auto* m) { return warmth(*m) < 1; })});
         std::erase_if(members, [](const auto& member) { return member.second.seen.gone(); });
     }
 };
@@ -323,16 +320,15 @@
         window += seconds(desk.step);
         weigher.inbox.push_back(Demand{came / window * level});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
-        window *= kMemory;
-        came *= kMemory;
+        window *= kMemory, came *= kMemory;
     }
 
     void on(const Pulse&) {
         if (desk.now < last_look + std::max(kLookEvery, desk.terms.report_every) || tries < kEnough) return;
         const bool ok = std::any_of(ways.begin(), ways.end(), [](auto& way) { return way.second.first > 0; });
         for (auto [_, n] : ways) if (!ok || n.first > 0 || n.second < kCut) met.emplace_back(kLost, n.second);
-        const double answer = middle(met);
-        met.clear(), ways.clear(), tries = 0;
+        const double answer = middle(std::exchange(met, {}));
+        ways.clear(), tries = 0;
         if (answer > aim && desk.now >= next_cut) {
             bearable = std::max(bearable * kBackOff, 2 * kLeastLetIn);
             let_in = std::max(bearable * std::max(aim / answer, 0.5), kLeastLetIn);
@@ -344,8 +340,7 @@
             bearable = std::min(1.0, bearable * (1 + kGrowth * early));
             let_in = std::min(bearable, let_in * 1.5);
         }
-        last_look = desk.now;
-        share_out();
+        last_look = desk.now, share_out();
     }
 
     static constexpr Span kLookEvery = std::chrono::seconds(1);  // a fleet jams within a few
@@ -363,8 +358,7 @@
         double spare = (1 - let_in) * came.sum();
         for (const auto& [criticality, m] : order) {
             const double cut = std::min(spare, came[m]);
-            level[m] = came[m] > 0 ? 1 - cut / came[m] : 1;
-            spare -= cut;
+            level[m] = came[m] > 0 ? 1 - cut / came[m] : 1, spare -= cut;
         }
         if (desk.terms.levels == LevelKind::share) channel.inbox.push_back(Levels{level});
     }
@@ -383,7 +377,7 @@
     struct Entry {
         Row wanted, sent;  // shares by pool
         bool out = false;  // withdrawn
-        Instant due{};     // since when it should be
+        Instant due{}, left{}, wished{};  // since when it should be, when first it was, last heard of
     };
     Desk& desk;
     std::vector<Binding> bindings{};  // by pool
@@ -401,7 +395,7 @@
     double ordered = 0, waiting = 0, allowance = 0;  // lines; allowance: that learnt changes may use
     std::map<MarkId, Marked> marks{};
     int next_mark = 0;
-    Instant counted{}, next_pressing{}, next_learnt{}, oldest{};
+    Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { bindings.push_back(note); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
@@ -409,9 +403,8 @@
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy});
-        proxies.insert(note.proxy);
+        proxies.insert(note.proxy), again = true;
         unbound[{!note.standing_only, -note.rpcs_per_second, note.proxy}] = note.zone;
-        again = true;
     }
     void on(const event::ProxyLeft& note) {
         if (proxies.erase(note.proxy) == 0) return;
@@ -420,19 +413,21 @@
     void on(const event::MarkApplied& note) {
         const auto at = marks.find(note.mark);
         if (at == marks.end()) return;
-        at->second.before += at->second.each;  // messages leave in order: this one has, and all before it
+        answered = desk.now, at->second.before += at->second.each;  // in order: it left, and all before it
         waiting = std::clamp(ordered - at->second.before, 0.0, waiting);
     }
     void on(const Wish& note) {
         Entry& entry = servers[note.server];
         if (entry.sent.size() == 0) entry.sent = 0 * note.shares;
-        entry.wanted = note.shares;
-        stale = true;
+        entry.wanted = note.shares, entry.wished = desk.now, stale = true;
     }
     void on(const Pulse&) {
         const double passed = seconds(desk.now - std::exchange(counted, desk.now));
         const double pace = desk.terms.lines_per_second, before = ordered;
-        waiting = std::max(0.0, waiting - kSurePace * pace * passed);
+        if (waiting == 0) answered = desk.now;
+        // Answered marks alone tell what has left; where none comes any more, the told pace does.
+        const bool silent = desk.now > answered + 4 * desk.terms.message_longest;
+        if (silent) waiting = std::max(0.0, waiting - kSurePace * pace * passed);
         allowance = std::min(allowance + pace / 2 * passed, pace * 2);
         if (stale || again) make_plan();
         int messages = send_changes();
@@ -448,36 +443,42 @@
     static constexpr double kWorthSending = 0.1;        // the design's: share changes over a tenth go out
     static constexpr double kLevelWorthSending = 0.03;  // a level bears on all RPCs at once
     static constexpr double kDesignHead = 6;            // the design counts a message so
-    // Of the limit on waiting lines. Bindings and learnt changes leave half of it, and most of the grace.
+    // Graces within which a proxy that lost its planner is back and bound; steps after which no report comes.
+    static constexpr int kRepeated = 2, kForgotten = 8;
+    // Of the limit on waiting lines. Bindings leave half of it, learnt changes most of the grace too.
     static constexpr double kLastRoom = 0.9, kOfGrace = 0.15;
     // What comes together shares a message; learnt changes save more heads than waiting costs them.
     static constexpr Span kMerge = std::chrono::milliseconds(200), kMergeLearnt = std::chrono::seconds(1);
 
-    double room(int rank) const {
+    double room(int rank) const {  // below 0: bindings
         const double most = kLastRoom * desk.terms.lines_waiting_most;
         const double in_grace = kOfGrace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
-        return (rank == 0 ? most : std::min(most / 2, in_grace)) - waiting;
+        return (rank == 0 ? most : rank < 0 ? most / 2 : std::min(most / 2, in_grace)) - waiting;
     }
 
     void make_plan() {
-        plan.clear();
-        pressed = 0, oldest = desk.now;
+        plan.clear(), pressed = 0, oldest = desk.now;
         Row had(bindings.size()), meant(bindings.size());  // of the servers that stay in use, by pool
         for (const auto& [id, entry] : servers) for (int k = 0; k < std::ssize(bindings) && !entry.out; ++k) {
             if (entry.sent[k] * entry.wanted[k] > 0) had[k] += entry.sent[k], meant[k] += entry.wanted[k];
         }
+        const Instant old = desk.now - kForgotten * desk.step;  // gone: nobody speaks of it any more
+        std::erase_if(servers, [old](auto& at) { return at.second.out && at.second.wished < old; });
         for (auto& [server, entry] : servers) {
             // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
             for (std::size_t k = 0; k < had.size(); ++k) if (had[k] > 0) entry.wanted[k] *= had[k] / meant[k];
             const double share = entry.wanted.sum();
             const bool out = share == 0;
-            const bool anew = entry.due == Instant{} || (again && entry.out);
-            if (!out || anew) entry.due = out ? desk.now : Instant{};
-            if (out != entry.out || (out && again)) {
-                // The longest due first, or a name could wait for ever. Coming back waits unless all are out.
-                const double size = out ? seconds(entry.due.time_since_epoch()) : -share;
+            const Instant told = entry.left + kRepeated * desk.terms.drain_grace;
+            const bool repeat = out && entry.out && again && desk.now < told;
+            if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
+            if (out != entry.out || repeat) {
+                // The longest due first, or a name could wait for ever; then, for who has just joined, the
+                // latest, which its last planner may not have sent. Coming back waits unless all are out.
+                const double due = seconds((repeat ? told : entry.due).time_since_epoch());
+                const double size = repeat ? 1e12 - due : out ? due : -share;
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
-                if (out) ++pressed, oldest = std::min(oldest, entry.due);
+                if (out && !repeat) ++pressed, oldest = std::min(oldest, entry.due);
                 continue;
             }
             for (std::size_t k = 0; k < bindings.size(); ++k) {
@@ -486,8 +487,7 @@
                 plan.push_back({out ? 2 : 1, -size, server, static_cast<int>(k)});
             }
         }
-        stale = again = false;
-        std::sort(plan.begin(), plan.end());
+        std::sort(plan.begin(), plan.end()), stale = again = false;
     }
 
     // Returns the lines for each bound proxy.
@@ -500,24 +500,25 @@
             const bool meant = only < 0 ? !out || said : k == only;
             if (!meant || entry.wanted[k] == entry.sent[k]) continue;
             desk.orders.push_back(order::SetLine{bindings[k].table, server, entry.wanted[k]});
-            entry.sent[k] = entry.wanted[k];
-            ++lines;
+            entry.sent[k] = entry.wanted[k], ++lines;
         }
         if (only < 0) desk.orders.push_back(order::Withdraw{server, entry.out = out});
+        if (only < 0 && !said) entry.left = desk.now;
         return lines;
     }
 
     int send_changes() {  // returns the number of messages, as the next does
         const double loose = 1.0 * unbound.size(), bound = 1.0 * proxies.size() - loose;
         double lines = 0, left = 0;  // left: withdrawals
+        bool pressing = false, learnt = false;
         const auto cost = [&](double more) {  // one not bound holds hardly more than eight of a wave
-            return (head + lines + more) * bound + (left > 0 ? head + std::min(left, 8.0) : 0) * loose;
+            return (lines + more > 0 ? head + lines + more : 0) * bound +
+                   (left > 0 ? head + std::min(left, 8.0) : 0) * loose;
         };
         const auto fits = [&](int rank) {
             return desk.now >= (rank == 0 ? next_pressing : next_learnt) && cost(1) <= room(rank) &&
                    (rank == 0 || (kDesignHead + lines + 1) * bound <= allowance || bound == 0);
         };
-        bool pressing = false, learnt = false;
         // Guards against more withdrawals than the channel carries within the grace, for many servers or many
         // proxies: nothing is let in until they are on their way. It costs service for so long.
         const double to_go = (waiting + pressed * bound) / (kSurePace * desk.terms.lines_per_second);
@@ -533,8 +534,8 @@
                     desk.orders.push_back(order::SetLevel{table, {m}, levels[m.value], further});
                 }
             }
-            sent_levels = levels, sent_never = never;
-            lines += 1.0 * levels.size(), (rank == 0 ? pressing : learnt) = true;
+            sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = true;
+            lines += 1.0 * levels.size();
         }
         for (; !handovers.empty() && fits(0); handovers.pop_front(), lines += 1, pressing = true) {
             const auto& [slice, server, weight] = handovers.front();
@@ -548,13 +549,13 @@
         }
         if (!pressing && !learnt) return 0;
         ordered += cost(0), waiting += cost(0);
-        if (learnt) allowance = std::max(0.0, allowance - (kDesignHead + lines) * bound);
+        allowance = std::max(0.0, allowance - learnt * (kDesignHead + lines) * bound);
         // So spaced they stay under the most that a proxy may get, with its binding.
         const int most = desk.terms.messages_most > 0 ? std::max(1, desk.terms.messages_most - 3) : 1'000'000;
         const Span share = desk.terms.messages_span / most;
         if (pressing) next_pressing = desk.now + std::max(kMerge, share * 10 / 7);
         if (learnt) next_learnt = desk.now + std::max(kMergeLearnt, share * 10 / 3);
-        return static_cast<int>(bound + (left > 0 ? loose : 0));
+        return static_cast<int>((lines > 0 ? bound : 0) + (left > 0 ? loose : 0));
     }
 
     int bind_joined() {
@@ -570,10 +571,9 @@
                 orders.push_back(order::Bind{table, methods, std::get<ProxyId>(place)});
             }
             const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
-            if (lines == 0 || (waiting > 0 && cost > room(1))) break;  // what it holds is better than nothing
+            if (lines == 0 || (waiting > 0 && cost > room(-1))) break;  // it holds something
             desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
-            unbound.erase(unbound.begin());
-            ordered += cost, waiting += cost;
+            unbound.erase(unbound.begin()), ordered += cost, waiting += cost;
         }
         return messages;
     }
@@ -598,16 +598,16 @@
     void on(const event::SliceOwner& note) {
         if (slices.contains(note.slice)) slices[note.slice].owners.insert(note.server);
     }
-    void on(const Standing& note) { open[note.entry.server] = note.open; }
+    void on(const Standing& note) {
+        note.gone() ? (void)open.erase(note.entry.server) : (void)(open[note.entry.server] = note.open);
+    }
     void on(const Pulse&) {
         if (slices.empty()) return;
         std::vector<ServerId> choice;
         for (const auto& [id, is_open] : open) if (is_open) choice.push_back(id);
         for (auto& [id, slice] : slices) {
-            for (const ServerId& owner : std::set(slice.owners)) {
-                if (open[owner]) continue;
-                channel.inbox.push_back(Handover{id, owner, 0});
-                slice.owners.erase(owner);
+            for (const ServerId& owner : std::set(slice.owners)) if (!open[owner]) {
+                channel.inbox.push_back(Handover{id, owner, 0}), slice.owners.erase(owner);
                 slice.free_from = std::max(slice.free_from, free_from());
             }
             if (!slice.owners.empty() || choice.empty() || desk.now < slice.free_from) continue;
@@ -697,6 +697,7 @@
         desk_.orders.push_back(order::StartTimer{kTimer, kTick});
         if (desk_.now < next_step_) return;
         next_step_ = desk_.now + desk_.step;
+        std::erase_if(servers_, [](auto& at) { return at.second.inbox.empty() && at.second.self.gone(); });
         gate_.inbox.push_back(Beat{});
         for (auto& [id, actor] : servers_) tell(actor, Beat{});
     }
@@ -716,8 +717,7 @@
     }
 
     void tell(Server& server, Note note) {
-        server.inbox.push_back(std::move(note));
-        spoken_to_.push_back(&server);
+        server.inbox.push_back(std::move(note)), spoken_to_.push_back(&server);
     }
     Desk desk_;
     Instant next_step_{};
--- a/src/figures.hpp
+++ b/src/figures.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,14 @@
     return row;
 }
 
+// For each member the sum of a figure over all of its kind.
+template <class Members>
+Row kind_sums(const Members& members, const Row& figure) {
+    std::map<KindId, double> sums;
+    for (std::size_t i = 0; i < members.size(); ++i) sums[members[i]->seen.entry.kind] += figure[i];
+    return row_of(members, [&sums](const auto& member) { return sums.at(member.seen.entry.kind); });
+}
+
 // Is a method, at proxies of a zone where it keeps to its own, open to a server?
 inline bool open_to(const Method& method, std::optional<ZoneId> home, const ListedServer& server) {
     const auto among = [](const auto& only, const auto& id) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -24,22 +24,27 @@
 // What every connection shares.
 struct House {
     const Names& names;
-    const int proxies;
-    protocol::Pool& reading;
-    protocol::Pool& writing;  // not the readers': who doesn't read is not to keep others from being heard
+    const protocol::Bounds& bounds;
+    // Three, so that neither lines without end nor unread orders keep others from being heard.
+    protocol::Pool& reading;  // one for each reader
+    protocol::Pool& lines;    // what is held of unfinished ones
+    protocol::Pool& writing;
     Inbox& inbox;
     Log& log;
 };
 
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-    // Strangers that say nothing are ended after this long; so is a collector, which reports twice a second
-    // and dials again at no cost. A stream isn't: its proxy would lose it by our doing.
-    static constexpr std::chrono::seconds kStrangerPatience{10}, kCollectorPatience{60};
+    // Counted from when it was taken, whatever it sends: who has not joined by then is ended.
+    static constexpr std::chrono::milliseconds kJoinDue{1'500};
+    // A collector reports twice a second and dials again at no cost. A stream is never ended for its silence:
+    // its proxy would lose it by our doing.
+    static constexpr std::chrono::seconds kCollectorPatience{60};
+    static constexpr std::size_t kStrangerLine = 1024;  // ten times a joining
     // Orders on top of as many unread bytes: the proxy has stopped reading.
-    static constexpr std::size_t kMostUnread = 512 * 1024;
-    static constexpr int kKernelSend = 64 * 1024,
-                         kKernelReceive = 16 * 1024;  // the kernel takes twice as much
+    static constexpr std::size_t kMostUnread = 128 * 1024;
+    static constexpr int kKernelSend = 16 * 1024,
+                         kKernelReceive = 8 * 1024;  // the kernel takes twice as much
 
     Connection(House& house, Crew& crew, StreamId id, Socket socket, std::string peer);
 
@@ -47,14 +52,18 @@
     enum class Posted { yes, not_read, no_buffer };
     Posted post(std::string_view message);  // any thread, never waits
     std::size_t unread();
-    void close();  // any thread
+    void close();          // any thread
+    bool close_if_idle();  // only a stranger of whom nothing waits to be read; any thread
     Role role() const { return role_; }
     StreamId id() const { return id_; }
 
  private:
     std::string read_to_end();  // why it ended
-    // Why it can't be used; empty: it was taken.
+    std::chrono::milliseconds left_to_join() const;
+    bool become(Role role);
+    // Why it ends the connection; empty: it doesn't.
     std::string take(std::string_view line);
+    // Why it can't be used; empty: it was taken.
     std::string take(const protocol::AliveAsked&);
     std::string take(const protocol::CollectorNamed& named);
     std::string take(const event::ProxyJoined& joined);
@@ -70,6 +79,7 @@
     const std::string peer_;
     std::atomic<Role> role_{Role::stranger};
     ProxyId proxy_{-1};  // the reader's
+    const std::chrono::steady_clock::time_point taken_;
     std::chrono::steady_clock::time_point heard_;
 
     std::mutex mutex_;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -7,8 +7,11 @@
 
 namespace micaroad::net {
 
-Door::Door(const House& house, std::size_t most_connections)
-    : house_(house), most_(most_connections), crew_(2 * most_connections + kThreadsToSpare) {}
+Door::Door(const House& house, std::size_t most_connections, std::size_t most_strangers)
+    : house_(house),
+      most_(most_connections),
+      most_strangers_(most_strangers),
+      crew_(2 * most_connections + kThreadsToSpare) {}
 
 Door::~Door() { shut(); }
 
@@ -58,8 +61,8 @@
 
 void Door::take(Socket socket, const Address& from) {
     std::unique_lock lock(mutex_);
-    if (connections_.size() >= most_ && !shed_stranger())
-        return house_.log.warn("{} is turned away: {} connections", text_of(from), most_);
+    if (!has_room())
+        return house_.log.warn("{} is turned away: {} connections", text_of(from), connections_.size());
     const StreamId id{next_++};
     const auto connection = std::make_shared<Connection>(house_, crew_, id, std::move(socket), text_of(from));
     connections_[id] = connection;
@@ -75,10 +78,17 @@
     connections_.erase(id);
 }
 
+bool Door::has_room() {
+    const auto strangers = std::count_if(connections_.begin(), connections_.end(), [](const auto& one) {
+        return one.second->role() == Role::stranger;
+    });
+    const bool full = connections_.size() >= most_ || static_cast<std::size_t>(strangers) >= most_strangers_;
+    return !full || shed_stranger();
+}
+
 bool Door::shed_stranger() {
     for (auto at = connections_.begin(); at != connections_.end(); ++at) {
-        if (at->second->role() != Role::stranger) continue;
-        at->second->close();
+        if (!at->second->close_if_idle()) continue;
         connections_.erase(at);
         return true;
     }
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -11,8 +11,8 @@
 
 class Door {
  public:
-    // Connections at a time. Past it the oldest stranger goes; where there is none, the newcomer.
-    Door(const House& house, std::size_t most_connections);
+    // At a time. Past either number the oldest idle stranger goes; where there is none, the newcomer.
+    Door(const House& house, std::size_t most_connections, std::size_t most_strangers);
     ~Door();
 
     bool open(const Address& address, std::string& why);
@@ -27,12 +27,13 @@
 
     void accept_on();
     void take(Socket socket, const Address& from);
-    bool shed_stranger();  // under the mutex; false if there is none
+    bool has_room();       // under the mutex; makes it, where it can
+    bool shed_stranger();  // under the mutex; false if there is none that is idle
     bool shed_unread();
     std::shared_ptr<Connection> find(StreamId stream);
 
     House house_;
-    const std::size_t most_;
+    const std::size_t most_, most_strangers_;
     Socket listener_;
     std::mutex mutex_;
     std::map<StreamId, std::shared_ptr<Connection>> connections_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -14,6 +14,13 @@
 
 namespace micaroad::net {
 
+namespace {
+
+constexpr int kBacklog =
+    1024;  // all proxies and a flood of strangers at once; one that finds no place waits a second
+
+}  // namespace
+
 std::optional<Address> address_of(const std::string& text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos) return std::nullopt;
@@ -62,7 +69,7 @@
     const bool listens =
         socket.open() && ::setsockopt(socket.fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes) == 0 &&
         ::bind(socket.fd_, reinterpret_cast<const sockaddr*>(&address.storage), address.length) == 0 &&
-        ::listen(socket.fd_, 256) == 0;
+        ::listen(socket.fd_, kBacklog) == 0;
     if (listens) return socket;
     why = std::strerror(errno);
     return {};
@@ -109,6 +116,11 @@
     ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof time);
 }
 
+bool Socket::has_bytes() const {
+    char byte;
+    return ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 ssize_t Socket::receive(char* into, std::size_t most) const {
     for (;;) {
         const ssize_t got = ::recv(fd_, into, most, 0);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -42,6 +42,7 @@
     void set_up(int send_bytes, int receive_bytes) const;
     void wait_at_most(std::chrono::milliseconds most) const;  // of each receive; zero: for ever
     // Number of bytes, 0 at the end, -1 on a fault, -2 when the wait is over.
+    bool has_bytes() const;  // that wait to be received
     ssize_t receive(char* into, std::size_t most) const;
     bool send_all(std::string_view bytes) const;  // waits for the peer
     bool send_now(std::string_view bytes) const;  // false if that would wait
--- /dev/null
+++ b/src/planner/limits.hpp
@@ -0,0 +1,40 @@
+// What the program may hold, derived from the limits it is told; docs/architecture.md has the sum.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "protocol/pool.hpp"
+
+namespace micaroad {
+
+struct Limits {
+    std::size_t connections, strangers;     // strangers among them
+    std::size_t line_buffers, out_buffers;  // for lines in the making, and for orders
+    bool enough;                            // for all proxies and collectors at once
+
+    // What is not for connections: discovery while it changes, probes, the listener, files.
+    static constexpr std::size_t kSocketsKept = 24;
+    static constexpr std::size_t kProgram = 10 * 1024 * 1024;  // code, module, outbox, list, inbox, log
+    // A connection: two stacks as far as they are touched, a buffer, what the kernel holds on a usual day.
+    static constexpr std::size_t kConnection = 64 * 1024;
+    static constexpr std::size_t kMostStrangers = 128, kLeastStrangers = 8;
+
+    static Limits of(std::size_t memory_mb, std::size_t sockets, std::size_t proxies, std::size_t zones) {
+        const std::size_t memory = std::max<std::size_t>(memory_mb, 16) * 1024 * 1024;
+        Limits limits{};
+        limits.out_buffers = memory / 8 / protocol::Pool::kBlock;
+        limits.line_buffers = memory / 16 / protocol::Pool::kBlock;  // and as much for lines copied whole
+        const std::size_t by_memory = (memory - memory / 4 - std::min(kProgram, memory / 2)) / kConnection;
+        const std::size_t by_sockets = std::max(sockets, kSocketsKept + 16) - kSocketsKept;
+        limits.connections = std::min(by_memory, by_sockets);
+        // A collector may come anew before its old connection ends.
+        const std::size_t joined = proxies + 2 * zones;
+        limits.enough = joined + kLeastStrangers <= limits.connections;
+        limits.strangers =
+            limits.enough ? std::min(limits.connections - joined, kMostStrangers) : kLeastStrangers;
+        return limits;
+    }
+};
+
+}  // namespace micaroad
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -37,9 +37,14 @@
       clock_(std::move(clock)),
       log_(log),
       listen_(address_or_throw(start_.listen, "listen")),
+      limits_(Limits::of(start_.memory_mb, start_.sockets, static_cast<std::size_t>(start_.terms.proxies),
+                         start_.names.zones.size())),
+      reading_(limits_.connections + kBuffersToSpare),
+      lines_(limits_.line_buffers),
+      writing_(limits_.out_buffers),
       inbox_(clock_),
-      door_({start_.names, start_.terms.proxies, reading_, writing_, inbox_, log_},
-            std::min(kMostConnections, std::max(start_.sockets, kSocketsKept + 16) - kSocketsKept)),
+      door_({start_.names, start_.bounds, reading_, lines_, writing_, inbox_, log_}, limits_.connections,
+            limits_.strangers),
       prober_(reading_, inbox_, clock_),
       watch_(start_.discovery, address_or_throw(start_.discovery, "discovery"), start_.names,
              start_.known.version, reading_, inbox_, log_),
@@ -65,6 +70,10 @@
 // Nobody is told `alive` before the module has heard the list it is to begin with.
 bool Program::begin_serving(std::string& why) {
     enter(Stage::hearing_known);
+    log_.info("room for {} connections, {} strangers among them", limits_.connections, limits_.strangers);
+    if (!limits_.enough)
+        log_.warn("'limits' don't suffice for {} proxies at once: who comes last is turned away",
+                  start_.terms.proxies);
     std::vector<Inbox::Item> known{{clock_(), arrival::ListTold{start_.known}}};
     core_.turn(known, clock_());
     if (!watch_.start()) {
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -8,6 +8,7 @@
 #include "net/door.hpp"
 #include "net/prober.hpp"
 #include "planner/core.hpp"
+#include "planner/limits.hpp"
 #include "planner/start_file.hpp"
 
 namespace micaroad {
@@ -29,12 +30,8 @@
     net::Address address() const { return door_.address(); }
 
  private:
-    // What is not for connections: discovery, probes, the listener, files.
-    static constexpr std::size_t kSocketsKept = 64;
-    static constexpr std::size_t kMostConnections =
-        400;  // two threads each; docs/architecture.md has the sum
     static constexpr std::size_t kCoreStack = 1024 * 1024;
-    static constexpr std::size_t kBuffers = 640;  // of 16 KiB, in each pool: one for each reader, and some
+    static constexpr std::size_t kBuffersToSpare = 64;  // strangers on their way out, discovery, probes
 
     void write(StreamId stream, std::string_view message) override { door_.write(stream, message); }
     void close(StreamId stream) override { door_.close(stream); }
@@ -50,7 +47,8 @@
     Log& log_;
     const net::Address listen_;
     std::atomic<Stage> stage_{Stage::made};
-    protocol::Pool reading_{kBuffers}, writing_{kBuffers};
+    const Limits limits_;
+    protocol::Pool reading_, lines_, writing_;
     Inbox inbox_;
     net::Door door_;
     net::Prober prober_;
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -36,6 +36,13 @@
     return value;
 }
 
+std::size_t limit_from(const json& file, const char* key) {
+    const json& limit = member(member(file, "limits"), key);
+    if (!limit.is_number() || !(limit.get<double>() >= 0 && limit.get<double>() < 1e9))
+        throw BadStart(std::string("'limits.") + key + "' can't be used");
+    return limit.get<std::size_t>();
+}
+
 // What only a start can bring in. Neither the seed nor the known list is meant to stay as it was.
 std::map<std::string, std::string> rest_of(const json& file) {
     std::map<std::string, std::string> rest;
@@ -81,9 +88,9 @@
     if (start.terms.methods.empty()) throw BadStart("'settings' names no method");
     if (start.names.zones.empty()) throw BadStart("'settings' names no zone");
     if (start.terms.proxies < 1) throw BadStart("'settings' allows no proxy");
-    try {
-        start.sockets = member(member(file, "limits"), "sockets").get<std::size_t>();
-    } catch (const json::exception&) { throw BadStart("'limits.sockets' is no number"); }
+    start.bounds.proxies = start.terms.proxies;
+    start.sockets = limit_from(file, "sockets");
+    start.memory_mb = limit_from(file, "memory_mb");
     auto known = protocol::ListReader(start.names).read(member(file, "known").dump());
     if (!known) throw BadStart("'known' is no list of servers");
     start.known = std::move(*known);
--- a/src/planner/start_file.hpp
+++ b/src/planner/start_file.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "planner/ports.hpp"
+#include "protocol/message.hpp"
 #include "protocol/server_list.hpp"
 #include "terms/terms.hpp"
 
@@ -21,9 +22,10 @@
 struct StartFile {
     std::string name, listen, discovery;
     std::uint64_t seed = 0;
-    std::size_t sockets = 0;
+    std::size_t sockets = 0, memory_mb = 0;
     Terms terms;
     Names names;
+    protocol::Bounds bounds;
     protocol::ListSaid known;
     std::map<std::string, std::string> rest;  // keys that a new reading does not change, as they were told
 };
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -15,7 +15,7 @@
         case LineFault::none:
             return "none";
         case LineFault::too_long:
-            return "a line over 1 MiB";
+            return "a line that is too long";
         case LineFault::no_carriage_return:
             return "a line that ends without CR";
         case LineFault::nul_byte:
@@ -32,7 +32,8 @@
  public:
     static constexpr std::size_t kLongest = 1024 * 1024;  // CRLF included
 
-    explicit LineReader(Pool& pool) : pool_(pool) {}
+    explicit LineReader(Pool& pool, std::size_t longest = kLongest) : pool_(pool), longest_(longest) {}
+    void allow(std::size_t longest) { longest_ = longest; }  // from the next piece on
 
     // Calls line(std::string_view), without its CRLF, for each that is complete, until one gives false. After
     // a fault the stream can't be read any further.
@@ -42,7 +43,7 @@
             const std::size_t end = bytes.find('\n');
             const std::string_view piece = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
             bytes.remove_prefix(piece.size());
-            if (held_.size() + piece.size() > kLongest) return LineFault::too_long;
+            if (held_.size() + piece.size() > longest_) return LineFault::too_long;
             if (piece.find('\0') != std::string_view::npos) return LineFault::nul_byte;
             if (end == std::string_view::npos) {
                 if (!held_.append(pool_, piece)) return LineFault::no_buffer;
@@ -65,6 +66,7 @@
 
  private:
     Pool& pool_;
+    std::size_t longest_;
     Chain held_;
 };
 
--- a/src/protocol/message.cpp
+++ b/src/protocol/message.cpp
@@ -11,25 +11,32 @@
 namespace {
 
 constexpr std::size_t kMostWords = 32;
-constexpr double kLargest = 1e12;  // of a figure: sums of them stay far from any edge
+constexpr double kLargest = 1e9;  // of a figure: sums of them stay far from any edge
+constexpr double kMostCounted = 1e6;  // RPCs of a proxy, or tries at a server, within one report
 
-// The words of a line, each read once. Throws Unreadable.
+std::string_view cut(std::string_view& line) {
+    const std::size_t space = std::min(line.find(' '), line.size());
+    const std::string_view word = line.substr(0, space);
+    line.remove_prefix(std::min(space + 1, line.size()));
+    return word;
+}
+
+// The words of a line, each read once. Throws Spoilt.
 class Words {
  public:
-    explicit Words(std::string_view line) : kind_(cut(line)) {
+    explicit Words(std::string_view line) {
         while (!line.empty()) {
             const std::string_view word = cut(line);
             if (word.empty()) continue;
             const std::size_t equals = word.find('=');
             if (equals == 0 || equals == std::string_view::npos)
-                throw Unreadable{"a word without name and value"};
+                throw Spoilt{"a word without name and value"};
             const std::string_view name = word.substr(0, equals);
-            if (find(name)) throw Unreadable{"doubled word " + std::string(name.substr(0, 40))};
-            if (words_.size() == kMostWords) throw Unreadable{"too many words"};
+            if (find(name)) throw Spoilt{"doubled word " + std::string(name.substr(0, 40))};
+            if (words_.size() == kMostWords) throw Spoilt{"too many words"};
             words_.emplace_back(name, word.substr(equals + 1));
         }
     }
-    std::string_view kind() const { return kind_; }
     const std::string_view* find(std::string_view name) const {
         const auto at =
             std::find_if(words_.begin(), words_.end(), [&](const auto& w) { return w.first == name; });
@@ -37,7 +44,7 @@
     }
     std::string_view text(const char* name) const {
         const std::string_view* value = find(name);
-        if (!value || value->empty()) throw Unreadable{std::string("missing word ") + name};
+        if (!value || value->empty()) throw Spoilt{std::string("missing word ") + name};
         return *value;
     }
     double figure(const char* name) const {
@@ -50,7 +57,10 @@
         if (!read_whole(text(name), value) || value < 0 || value >= below) throw bad(name);
         return value;
     }
-    Span span(const char* name) const { return Span{std::llround(figure(name) * 10)}; }
+    Span span(const char* name, Span longest) const {
+        const Span span{std::llround(figure(name) * 10)};
+        return span <= longest ? span : throw bad(name);
+    }
     int place(const char* name, const std::vector<std::string>& among) const {
         const auto at = std::find(among.begin(), among.end(), text(name));
         if (at == among.end()) throw bad(name);
@@ -58,60 +68,69 @@
     }
 
  private:
-    static Unreadable bad(const char* name) { return {std::string("bad value of ") + name}; }
-    static std::string_view cut(std::string_view& line) {
-        const std::size_t space = std::min(line.find(' '), line.size());
-        const std::string_view word = line.substr(0, space);
-        line.remove_prefix(std::min(space + 1, line.size()));
-        return word;
-    }
-
-    std::string_view kind_;
+    static Spoilt bad(const char* name) { return {std::string("bad value of ") + name}; }
     std::vector<std::pair<std::string_view, std::string_view>> words_;
 };
 
-Message message_of(const Words& words, const Names& names, int proxies) {
+// How many there were, how many came to nothing (an RPC may do so in a later window than it came in), and over
+// which time: each can only be so large.
+void read_counts(const Words& words, const Bounds& bounds, double& all, double& bad, Span& over) {
+    all = words.figure("n"), bad = words.figure("bad"), over = words.span("window", bounds.longest_window);
+    if (std::max(all, bad) > kMostCounted) throw Spoilt{"more than can have come"};
+    if (over <= Span{}) throw Spoilt{"no window"};
+}
+
+Message outcomes_of(const Words& words, const Names& names, const Bounds& bounds) {
+    event::Outcomes met;
+    met.server = {std::string(words.text("host"))};
+    met.from = {words.place("az", names.zones)};
+    read_counts(words, bounds, met.tries, met.bad, met.over);
+    met.mean = words.span("avg", bounds.longest_mean);
+    if (met.bad > met.tries) throw Spoilt{"more failures than tries"};
+    return met;
+}
+
+Message demand_of(const Words& words, const Names& names, const Bounds& bounds) {
+    event::Arrivals came;
+    came.proxy = {words.whole("sidecar", bounds.proxies)};
+    came.method = {words.place("kind", names.methods)};
+    read_counts(words, bounds, came.count, came.unanswered, came.over);
+    return came;
+}
+
+Message answer_of(const Words& words, const Names&, const Bounds& bounds) {
     constexpr int kMarks = 65'536;
-    if (words.kind() == "outcomes") {
-        event::Outcomes met;
-        met.server = {std::string(words.text("host"))};
-        met.from = {words.place("az", names.zones)};
-        met.tries = words.figure("n");
-        met.bad = words.figure("bad");
-        if (words.find("avg")) met.mean = words.span("avg");
-        met.over = words.span("window");
-        return met;
-    }
-    if (words.kind() == "demand") {
-        event::Arrivals came;
-        came.proxy = {words.whole("sidecar", proxies)};
-        came.method = {words.place("kind", names.methods)};
-        came.count = words.figure("n");
-        came.unanswered = words.figure("bad");
-        came.over = words.span("window");
-        return came;
-    }
-    if (words.kind() == "ack") {
-        words.figure("lag_ms");
-        return event::MarkApplied{{words.whole("sidecar", proxies)}, {words.whole("version", kMarks)}};
-    }
-    if (words.kind() == "hello") {
-        event::ProxyJoined joined;
-        joined.proxy = {words.whole("sidecar", proxies)};
-        joined.zone = {words.place("az", names.zones)};
-        joined.rpcs_per_second = words.figure("share");
-        joined.standing_only = words.whole("standing", 2) == 1;
-        return joined;
-    }
-    if (words.kind() == "agent") return CollectorNamed{{words.place("az", names.zones)}};
-    if (words.kind() == "probe") return AliveAsked{};
-    throw Unreadable{"unknown kind " + std::string(words.kind().substr(0, 40))};
+    words.figure("lag_ms");
+    return event::MarkApplied{{words.whole("sidecar", bounds.proxies)}, {words.whole("version", kMarks)}};
+}
+
+Message joining_of(const Words& words, const Names& names, const Bounds& bounds) {
+    event::ProxyJoined joined;
+    joined.proxy = {words.whole("sidecar", bounds.proxies)};
+    joined.zone = {words.place("az", names.zones)};
+    joined.rpcs_per_second = words.figure("share");
+    joined.standing_only = words.whole("standing", 2) == 1;
+    return joined;
 }
 
+Message collector_of(const Words& words, const Names& names, const Bounds&) {
+    return CollectorNamed{{words.place("az", names.zones)}};
+}
+
+Message alive_of(const Words&, const Names&, const Bounds&) { return AliveAsked{}; }
+
+constexpr std::pair<std::string_view, Message (*)(const Words&, const Names&, const Bounds&)> kKinds[] = {
+    {"outcomes", outcomes_of}, {"demand", demand_of},   {"ack", answer_of},
+    {"hello", joining_of},     {"agent", collector_of}, {"probe", alive_of}};
+
 }  // namespace
 
-std::variant<Message, Unreadable> read_message(std::string_view line, const Names& names, int proxies) try {
-    return message_of(Words(line), names, proxies);
-} catch (const Unreadable& why) { return why; }
+Verdict read_message(std::string_view line, const Names& names, const Bounds& bounds) try {
+    const std::string_view said = cut(line);
+    for (const auto& [kind, read] : kKinds) {
+        if (kind == said) return read(Words(line), names, bounds);
+    }
+    return Unreadable{"unknown kind " + std::string(said.substr(0, 40))};
+} catch (const Spoilt& why) { return why; }
 
 }  // namespace micaroad::protocol
--- a/src/protocol/pool.hpp
+++ b/src/protocol/pool.hpp
@@ -15,7 +15,7 @@
 
 class Pool {
  public:
-    static constexpr std::size_t kBlock = 16 * 1024;
+    static constexpr std::size_t kBlock = 4 * 1024;
     using Block = std::array<char, kBlock>;
     struct Return {
         Pool* pool = nullptr;
