Marks are checked against their stream, reports against the list; the gone are forgotten everywhere

Seen: by reading, an answer to any known mark lowered the lines that wait, whoever it came from; the outbox kept what it had told of each server for good, and each proxy's told servers grew with every new id; a report on a server never listed went to the module.

Changed: outbox.answered() knows every open mark of a stream and tells; outbox.forget() a minute after a removal; bounds of windows and means from the settings.

--- a/src/outbox/outbox.cpp
+++ b/src/outbox/outbox.cpp
@@ -37,12 +37,12 @@
 }
 
 // A proxy applies in order: an answer stands for all that was written before it.
-void Outbox::answered(ProxyId number, MarkId mark) {
+bool Outbox::answered(ProxyId number, MarkId mark) {
     const auto at = proxies_.find(number);
-    if (at == proxies_.end()) return;
+    if (at == proxies_.end()) return false;
     auto& [here, bound, told, unanswered] = at->second;
     const auto is_it = [&mark](const auto& said) { return said.first == mark; };
-    if (std::none_of(unanswered.begin(), unanswered.end(), is_it)) return;
+    if (std::none_of(unanswered.begin(), unanswered.end(), is_it)) return false;
     for (bool last = false; !last; unanswered.pop_front()) {
         last = is_it(unanswered.front());
         for (const ServerId& server : unanswered.front().second) {
@@ -52,13 +52,22 @@
             if (!again) told[server].sure = true;
         }
     }
+    return true;
+}
+
+void Outbox::forget(const ServerId& server) {
+    withdrawn_.erase(server);
+    for (auto& [number, proxy] : proxies_) {
+        proxy.told.erase(server);
+        for (auto& [mark, shut] : proxy.unanswered) shut.erase(server);
+    }
 }
 
 std::vector<Letter> Outbox::letters(const std::vector<Order>& orders) {
     for (const Order& order : orders) std::visit([this](const auto& o) { apply(o); }, order);
     std::vector<Letter> letters;
     for (auto& [number, letter] : std::exchange(drafts_, {})) {
-        if (letter.mark && !letter.shut.empty()) {
+        if (letter.mark) {
             auto& unanswered = proxies_[number].unanswered;
             unanswered.emplace_back(*letter.mark, std::set<ServerId>{});
             for (const auto& [server, out] : letter.shut) unanswered.back().second.insert(server);
--- a/src/outbox/outbox.hpp
+++ b/src/outbox/outbox.hpp
@@ -19,7 +19,8 @@
     void heard(const event::List& list);
     void joined(ProxyId proxy);  // after left(), where it was here
     void left(ProxyId proxy);
-    void answered(ProxyId proxy, MarkId mark);
+    bool answered(ProxyId proxy, MarkId mark);  // false: no such mark is open on its stream
+    void forget(const ServerId& server);        // it is gone for good
 
     // Of one decide(), in order; those that concern no proxy are passed over.
     std::vector<Letter> letters(const std::vector<Order>& orders);
@@ -44,7 +45,8 @@
         bool here = false;
         std::map<MethodId, TableId> bound;
         std::map<ServerId, Told> told;
-        std::deque<std::pair<MarkId, std::set<ServerId>>> unanswered;  // in the order of writing
+        std::deque<std::pair<MarkId, std::set<ServerId>>>
+            unanswered;  // with what was shut, in order of writing
     };
 
     void apply(const order::SetLine& o);
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -31,7 +31,7 @@
 
 void Core::turn(std::vector<Inbox::Item>& items, Instant now) {
     now_ = now;
-    std::erase_if(removed_, [now](const auto& removed) { return now - removed.second > kRemovedStands; });
+    forget_removed();
     for (auto& item : items) std::visit([this](auto& arrived) { hear(arrived); }, item.arrival);
     for (; !timers_.empty() && timers_.begin()->first <= now; timers_.erase(timers_.begin())) {
         planner_.hear(event::TimerDue{timers_.begin()->second});
@@ -75,7 +75,10 @@
 
 void Core::hear(arrival::StreamAnswered& answered) {
     if (!proxies_.contains(answered.stream)) return;  // of a stream that was replaced
-    outbox_.answered(answered.applied.proxy, answered.applied.mark);
+    const auto& [proxy, mark] = answered.applied;
+    if (!outbox_.answered(proxy, mark))
+        return log_.warn("proxy {} answers mark {}, which is not open on its stream: dropped", proxy.value,
+                         mark.value);
     planner_.hear(answered.applied);
 }
 
@@ -95,6 +98,10 @@
 }
 
 void Core::hear(arrival::Reported& reported) {
+    if (const auto* met = std::get_if<event::Outcomes>(&reported.report);
+        met && !held_.contains(met->server) && !removed_.contains(met->server))
+        return log_.warn("a report on {}, which was never listed, is dropped",
+                         met->server.value.substr(0, 40));
     std::visit([this](auto& report) { planner_.hear(report); }, reported.report);
 }
 
@@ -143,6 +150,15 @@
     return missing;
 }
 
+void Core::forget_removed() {
+    std::erase_if(removed_, [this](const auto& removed) {
+        const auto& [server, since] = removed;
+        if (now_ - since <= kRemovedStands) return false;
+        if (!held_.contains(server)) outbox_.forget(server);
+        return true;
+    });
+}
+
 void Core::drop_removed(event::List& list) {
     std::erase_if(list.servers, [this](const ListedServer& server) {
         const auto at = removed_.find(server.server);
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -36,6 +36,7 @@
     void hear(arrival::Reported& reported);
     void hear(arrival::ListTold& told);
     void drop_removed(event::List& list);
+    void forget_removed();
     std::vector<ServerId> missing_in(const event::List& list) const;
     void hear(arrival::WatchLost&);
     void hear(arrival::ProbeEnded& ended);
@@ -45,6 +46,7 @@
     void carry_out(const Order& order, Instant now);
 
     // A list of an older version that names a server removed so lately is out of date; the removal stands.
+    // After that, nothing is kept of the server.
     static constexpr Span kRemovedStands = std::chrono::seconds(60);
     const Names names_;
     const bool subscribed_;
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -1,5 +1,6 @@
 #include "planner/start_file.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -36,6 +37,19 @@
     return value;
 }
 
+// A report is at most as long as a hundred and twenty usual ones (a break may lie within), and a try ends
+// with its RPC's deadline, where the settings tell one.
+protocol::Bounds bounds_of(const json& profile, const Terms& terms) {
+    protocol::Bounds bounds;
+    bounds.proxies = terms.proxies;
+    bounds.longest_window = std::max(120 * terms.report_every, Span{10'000});
+    Span deadline{};
+    for (const json& method : profile.value("classes", json::array()))
+        deadline = std::max(deadline, span_of(method.value("deadline_us", std::int64_t{0})));
+    if (deadline > Span{}) bounds.longest_mean = 2 * deadline;
+    return bounds;
+}
+
 std::size_t limit_from(const json& file, const char* key) {
     const json& limit = member(member(file, "limits"), key);
     if (!limit.is_number() || !(limit.get<double>() >= 0 && limit.get<double>() < 1e9))
@@ -88,7 +102,7 @@
     if (start.terms.methods.empty()) throw BadStart("'settings' names no method");
     if (start.names.zones.empty()) throw BadStart("'settings' names no zone");
     if (start.terms.proxies < 1) throw BadStart("'settings' allows no proxy");
-    start.bounds.proxies = start.terms.proxies;
+    start.bounds = bounds_of(profile, start.terms);
     start.sockets = limit_from(file, "sockets");
     start.memory_mb = limit_from(file, "memory_mb");
     auto known = protocol::ListReader(start.names).read(member(file, "known").dump());
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -2,6 +2,8 @@
 #include "planner/core.hpp"
 #include "planner/limits.hpp"
 
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
 
 #include "helpers.hpp"
@@ -145,6 +147,51 @@
     CHECK(stage.names(1, "s-1:"));
 }
 
+TEST_CASE("servers under ever new ids and streams that come and go leave nothing behind") {
+    Stage stage;
+    stage.turn({Stage::told(test::kList)});
+    std::uint64_t stream = 1;
+    int number = 0;
+    const auto entry = [](int n, const char* state) {
+        return R"({"id":"n-)" + std::to_string(n) + R"(","addr":"h:1","zone":"a","kind":"m1","state":")" + state + R"("})";
+    };
+    const auto live = [&](int seconds) {
+        for (const int end = number + seconds; number < end; ++number) {
+            const std::string entries = entry(number, "up") + "," + entry(number - 4, "draining") + "," + entry(number - 8, "removed");
+            stage.turn({Stage::told(R"({"version":)" + std::to_string(100 + number) + R"(,"full":false,"servers":[)" + entries + "]}"),
+                        Stage::begun(++stream, number % 8, false),
+                        arrival::StreamAnswered{{stream - 1}, {{(number + 7) % 8}, {number % 65'536}}},
+                        arrival::Reported{event::Outcomes{{"n-" + std::to_string(number - 9)}, {0}, 3, 1, Span{30}, Span{5'000}}},
+                        arrival::Reported{event::Outcomes{{"n-" + std::to_string(number - 2)}, {0}, 3, 0, Span{300}, Span{5'000}}}});
+            stage.run(1'000);
+            stage.ear.written.clear(), stage.ear.closed.clear();
+        }
+        return mallinfo2().uordblks;
+    };
+    const std::size_t early = live(200), late = live(600);
+    CHECK(late < early + 48 * 1024);
+    // Who joins now is told of those that left lately, not of all that ever did.
+    stage.turn({Stage::begun(++stream, 5, false)});
+    stage.run(300);
+    const std::string told = stage.said(stream);
+    CHECK(told.find("n-" + std::to_string(number - 1)) != std::string::npos);
+    CHECK(told.find("n-" + std::to_string(number - 30)) == std::string::npos);
+}
+
+TEST_CASE("an answer to a mark that is not open is dropped, a later one covers it") {
+    Outbox outbox(2);
+    outbox.joined({0});
+    const auto marked = [&](int mark) {
+        outbox.letters({order::Withdraw{{"s-1"}, true}, order::Mark{{mark}, false}});
+    };
+    marked(1), marked(2), marked(3);
+    CHECK(!outbox.answered({0}, {9}));
+    CHECK(!outbox.answered({1}, {1}));
+    CHECK(outbox.answered({0}, {2}));
+    CHECK((!outbox.answered({0}, {1}) && !outbox.answered({0}, {2})));
+    CHECK(outbox.answered({0}, {3}));
+}
+
 TEST_CASE("room follows from both limits, proxies first") {
     const Limits small = Limits::of(32, 256, 150, 3);
     CHECK((small.enough && small.connections <= 256 - Limits::kSocketsKept && small.strangers >= 32));
