A shut-out is said once on a stream; said again it is counted for new joiners alone

Checked and ruled out: drains told late (0 ms), the channel's pace (marks after 0.3 to 0.6 s), discovery. At fault: outbox.cpp tell_shut() wrote the same shut-out each time the module said it again, and Channel::send_changes() counted it for all loose proxies, so bind_joined() found no room.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -397,7 +397,8 @@
     // Where proxies do not try so by themselves, the first level tells them.
     Row sent_levels = Row(desk.terms.further_tries == kFurther ? 1.0 : 0.0, desk.terms.methods.size());
     const double head = desk.terms.lines_per_message + 1;  // and a mark
-    double ordered = 0, waiting = 0, allowance = 0;  // lines; allowance: that learnt changes may use
+    // Lines (allowance: that learnt changes may use), and who joined since withdrawals were said again.
+    double ordered = 0, waiting = 0, allowance = 0, fresh = 0;
     std::map<MarkId, Marked> marks{};
     int next_mark = 0;
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
@@ -408,7 +409,7 @@
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy});
-        proxies.insert(note.proxy), again = true;
+        proxies.insert(note.proxy), again = true, ++fresh;
         unbound[{!note.standing_only, -note.rpcs_per_second, note.proxy}] = note.zone;
     }
     void on(const event::ProxyLeft& note) {
@@ -447,8 +448,7 @@
     static constexpr double kSurePace = 0.6;            // of the told pace: what a channel surely sends
     // The design's: share changes over a tenth go out, a message counts so. A level bears on all RPCs.
     static constexpr double kWorthSending = 0.1, kDesignHead = 6, kLevelWorthSending = 0.03;
-    // Graces within which a proxy that lost its planner is back and bound; steps after which no report comes.
-    static constexpr int kRepeated = 2, kForgotten = 8;
+    static constexpr int kForgotten = 8;  // steps after which no report comes
     // Of the limit on waiting lines. Bindings leave half of it, learnt changes most of the grace too.
     static constexpr double kLastRoom = 0.9, kOfGrace = 0.15;
     // What comes together shares a message; learnt changes save more heads than waiting costs them.
@@ -471,16 +471,15 @@
         for (auto& [server, entry] : servers) {
             // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
             for (std::size_t k = 0; k < had.size(); ++k) if (had[k] > 0) entry.wanted[k] *= had[k] / meant[k];
-            const double share = entry.wanted.sum();
-            const bool out = share == 0;
-            const Instant told = entry.left + kRepeated * desk.terms.drain_grace;
+            const bool out = entry.wanted.sum() == 0;
+            const Instant told = entry.left + desk.terms.drain_grace + desk.terms.message_longest;
             const bool repeat = out && entry.out && again && desk.now < told;
             if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
             if (out != entry.out || repeat) {
                 // The longest due first, or a name could wait for ever; then, for who has just joined, the
                 // latest, which its last planner may not have sent. Coming back waits unless all are out.
                 const double due = seconds((repeat ? told : entry.due).time_since_epoch());
-                const double size = repeat ? 1e12 - due : out ? due : -share;
+                const double size = repeat ? 1e12 - due : out ? due : -entry.wanted.sum();
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
                 if (out && !repeat) ++pressed, oldest = std::min(oldest, entry.due);
                 continue;
@@ -511,11 +510,12 @@
 
     int send_changes() {  // returns the number of messages, as the next does
         const double loose = 1.0 * unbound.size(), bound = 1.0 * proxies.size() - loose;
+        const double to = pressed > 0 ? loose : std::min(loose, fresh);  // who is told a withdrawal
         double lines = 0, left = 0;  // left: withdrawals
         bool pressing = false, learnt = false;
         const auto cost = [&](double more) {  // one not bound holds hardly more than eight of a wave
             return (lines + more > 0 ? head + lines + more : 0) * bound +
-                   (left > 0 ? head + std::min(left, 8.0) : 0) * loose;
+                   (left > 0 ? head + std::min(left, 8.0) : 0) * to;
         };
         const auto fits = [&](int rank) {
             return desk.now >= (rank == 0 ? next_pressing : next_learnt) && cost(1) <= room(rank) &&
@@ -557,7 +557,7 @@
         const Span share = desk.terms.messages_span / most;
         if (pressing) next_pressing = desk.now + std::max(kMerge, share * 10 / 7);
         if (learnt) next_learnt = desk.now + std::max(kMergeLearnt, share * 10 / 3);
-        return static_cast<int>((lines > 0 ? bound : 0) + (left > 0 ? loose : 0));
+        return static_cast<int>((lines > 0 ? bound : 0) + (left > 0 ? (fresh = 0, to) : 0));
     }
 
     int bind_joined() {
--- a/src/outbox/outbox.cpp
+++ b/src/outbox/outbox.cpp
@@ -33,7 +33,7 @@
     proxy.here = false;
     proxy.bound.clear();
     proxy.unanswered.clear();
-    for (auto& [server, told] : proxy.told) told.out |= !told.sure;
+    for (auto& [server, told] : proxy.told) told.out |= !told.sure, told.here = false;
 }
 
 // A proxy applies in order: an answer stands for all that was written before it.
@@ -212,9 +212,12 @@
     return Letter::Level{std::min(own->second.amount, all->second.amount), own->second.further_tries};
 }
 
+// Said twice on one stream it is one line too many: a stream loses nothing.
 void Outbox::tell_shut(ProxyId number, Proxy& proxy, const ServerId& server, bool out) {
+    const auto told = proxy.told.find(server);
+    if (told != proxy.told.end() && told->second.here && told->second.out == out) return;
     letter_to(number).shut[server] = out;
-    proxy.told[server] = {out, false};
+    proxy.told[server] = {out, false, true};
 }
 
 void Outbox::let_back_unless_open(ProxyId number, Proxy& proxy, const ServerId& server) {
--- a/src/outbox/outbox.hpp
+++ b/src/outbox/outbox.hpp
@@ -40,6 +40,7 @@
     struct Told {
         bool out = false;
         bool sure = false;  // it has answered a mark since
+        bool here = true;   // on the stream that it has now
     };
     struct Proxy {
         bool here = false;
