--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -138,7 +138,7 @@
         // Slow to rise: the fewer servers are left, the more each is sent, but it can do no more than before.
         const double mean = total / row_of(open, [](const Member& m) { return m.seen.entry.size; }).sum();
         usual = usual == 0 ? mean : std::min(mean, usual * 1.1);
-        const Row capacity = able(open, rate, answer);
+        const Row capacity = rate + 1.0 / answer;
         Shares now(pools.size());  // as published
         for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
         const auto ahead = [&](const Shares& to, TailTerm tail) {
@@ -213,19 +213,6 @@
         return true;
     }
 
-    // The design's capacity is what a server has shown. One that is sent little shows little, and would stay
-    // small for it: it counts for what its kind shows, by size, less so far as it answers later.
-    static Row able(const Members& open, const Row& rate, const Row& answer) {
-        const Row tries = row_of(open, [](const Member& m) { return m.seen.tries + 1e-9; });
-        const Row size = row_of(open, [](const Member& m) { return m.seen.entry.size; });
-        const Row shown = rate + 1.0 / answer, all = kind_sums(open, tries);
-        const Row slower = kind_sums(open, tries * answer) / all / answer;  // under 1 where it is
-        Row like = size * kind_sums(open, tries * shown / size) / all;
-        for (std::size_t i = 0; i < like.size(); ++i) like[i] *= std::min(1.0, slower[i]);
-        like[like < shown] = Row(shown[like < shown]);
-        return like;
-    }
-
     double warmth(const Member& member) const {  // by age, 1: warm
         const auto& start = member.seen.entry.last_start;
         return start ? seconds(desk.now - *start) / seconds(desk.terms.warm_after) : 1;
@@ -335,8 +322,7 @@
         if (whole) base = rate();
         if (ahead > aim && desk.now >= next_cut) {
             bearable = std::max(bearable * kBackOff, 2 * kLeastLetIn);
-            const double part = std::max(aim / ahead, 0.5);
-            let_in = std::max(bearable * part * part, kLeastLetIn), whole = false;
+            let_in = std::max(bearable * std::max(aim / ahead, 0.5), kLeastLetIn), whole = false;
             const Span on_the_way{static_cast<Span::rep>(3 * aim / seconds(Span{1}))};  // told late
             next_cut = desk.now + 2 * (desk.terms.message_longest + desk.terms.report_every) + on_the_way;
         } else if (answer < 0.75 * aim) {
