--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <thread>
@@ -101,12 +102,18 @@
     Socket listener;
     std::vector<std::string> answers;
     std::vector<std::string> asked;
-    std::vector<Socket> open;
+    std::vector<Socket> open;  // never moved: others use what stands in it
+    std::atomic<std::size_t> taken{0};
     std::thread thread;
     explicit Discovery(std::vector<std::string> texts) : answers(std::move(texts)) {
         std::string why;
         listener = Socket::listening(*address_of("127.0.0.1:0"), why);
         REQUIRE(listener.open());
+        open.reserve(answers.size());
+    }
+    Socket& connection(std::size_t n) {  // once it has been answered
+        while (taken <= n) std::this_thread::yield();
+        return open.data()[n];
     }
     void begin() {
         thread = std::thread([this] {
@@ -120,6 +127,7 @@
                 socket.send_all(answer);
                 if (answer.ends_with('!')) socket.shut_down();
                 open.push_back(std::move(socket));
+                ++taken;
             }
         });
     }
@@ -316,8 +324,8 @@
     REQUIRE(watch.start());
     CHECK(next<arrival::ListTold>().said.version == 42);
     watch.follow("next", next_one.listener.local());  // silent at first
-    while (next_one.open.empty()) std::this_thread::yield();
-    old.open[0].send_all(chunk("\n") + chunk(version(42)));
+    next_one.connection(0);
+    old.connection(0).send_all(chunk("\n") + chunk(version(42)));
     CHECK(next<arrival::ListTold>().said.version == 42);
     // It falls silent as well, and the list is said to be without a watch; then the new one speaks.
     std::int64_t last = 0;
@@ -325,11 +333,11 @@
         for (auto& item : inbox.wait(clock_now()() + Span{100'000}))
             if (const auto* told = std::get_if<arrival::ListTold>(&item.arrival)) last = told->said.version;
     }
-    CHECK(ended(old.open[0]));
+    CHECK(ended(old.connection(0)));
     // Two at once: the first of them is left before it has spoken.
     watch.follow("nowhere", *address_of("127.0.0.1:1"));
     watch.follow("third", third.listener.local());
-    CHECK(ended(next_one.open.back()));
+    CHECK(ended(next_one.connection(1)));
     watch.stop();
     CHECK(third.all_asked().at(0) == "GET /catalog/members?stream=1&index=43 HTTP/1.1");
 }
@@ -394,7 +402,7 @@
         program.reload(path);
     }
     std::remove(file.c_str());
-    CHECK(ended(discovery.open.at(0)));
+    CHECK(ended(discovery.connection(0)));
     proxy.send_all("probe\r\n");
     for (std::string seen; seen.find("alive\r\n") == std::string::npos;) {
         const std::string more = read_some(proxy, 1);
