--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -41,14 +41,16 @@
         if (note.entry.last_start && note.entry.last_start != self.entry.last_start) self = Standing{};
         self.entry = note.entry;
         if (!std::isfinite(self.entry.size) || self.entry.size <= 0) self.entry.size = 1;
-        self.open = self.entry.phase == Phase::ready, tell();
+        self.open = self.entry.phase == Phase::ready;
+        tell();
     }
 
     // Guards against a list that drops servers which run, where the terms say that this does not bind: what
     // still answers stays. It costs RPCs where one is truly gone.
     void on(const Unlisted&) {
         if (std::exchange(self.entry.phase, Phase::gone) == Phase::gone) return;
-        self.open = self.open && self.last_ok && desk.terms.dropped_may_serve, tell();
+        self.open = self.open && self.last_ok && desk.terms.dropped_may_serve;
+        tell();
     }
 
     void on(const event::Outcomes& met) {
@@ -76,7 +78,10 @@
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
 
 struct Weigher : Part {
-    struct Member { Standing seen{}; Row weight{}, share{}; bool trusted = false, doubted = false; };
+    struct Member {
+        Standing seen{}; Row weight{}, share{};  // figures by pool
+        bool trusted = false, doubted = false;
+    };
     struct Pool { Binding binding; Method like; double part = 1; };  // part: of the traffic
     using Members = std::vector<Member*>; using Shares = std::vector<Row>;  // by pool, of the open servers
 
@@ -323,7 +328,7 @@
         if (ahead > aim && desk.now >= next_cut) {
             bearable = std::max(bearable * kBackOff, 2 * kLeastLetIn);
             let_in = std::max(bearable * std::max(aim / ahead, 0.5), kLeastLetIn), whole = false;
-            const Span on_the_way{static_cast<Span::rep>(3 * aim / seconds(Span{1}))};  // told late
+            const Span on_the_way{static_cast<Span::rep>(3 * aim / seconds(Span{1}))};  // heard late
             next_cut = desk.now + 2 * (desk.terms.message_longest + desk.terms.report_every) + on_the_way;
         } else if (answer < 0.75 * aim) {
             bearable *= 1 + kGrowth * (1 - answer / aim) * seconds(desk.now - last_look);
@@ -485,7 +490,8 @@
         int lines = only >= 0 || said ? 0 : 1;
         for (int k = 0; k < std::ssize(bindings); ++k) {
             // Said again, a withdrawal is to reach none that heard it: their tables drop the line first.
-            if (!(only < 0 ? !out || said : k == only) || entry.wanted[k] == entry.sent[k]) continue;
+            const bool meant = only < 0 ? !out || said : k == only;
+            if (!meant || entry.wanted[k] == entry.sent[k]) continue;
             desk.orders.push_back(order::SetLine{bindings[k].table, server, entry.wanted[k]});
             entry.sent[k] = entry.wanted[k], ++lines;
         }
@@ -537,13 +543,14 @@
         }
         if (!pressing && !learnt) return 0;
         ordered += cost(0), waiting += cost(0);
-        allowance = std::max(0.0, allowance - learnt * (kDesignHead + lines) * bound);
+        if (learnt) allowance = std::max(0.0, allowance - (kDesignHead + lines) * bound);
         // So spaced they stay under the most that a proxy may get, with its binding.
         const int most = desk.terms.messages_most > 0 ? std::max(1, desk.terms.messages_most - 3) : 1'000'000;
         const Span share = desk.terms.messages_span / most;
         if (pressing) next_pressing = desk.now + std::max(kMerge, share * 10 / 7);
         if (learnt) next_learnt = desk.now + std::max(kMergeLearnt, share * 10 / 3);
-        return static_cast<int>((lines > 0 ? bound : 0) + (left > 0 ? (fresh = 0, to) : 0));
+        if (left > 0) fresh = 0;
+        return static_cast<int>((lines > 0 ? bound : 0) + (left > 0 ? to : 0));
     }
 
     int bind_joined() {
@@ -559,7 +566,7 @@
                 orders.push_back(order::Bind{table, methods, std::get<ProxyId>(place)});
             }
             const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
-            if (lines == 0 || (waiting > 0 && cost > room(-1))) break;  // it holds something
+            if (lines == 0 || (waiting > 0 && cost > room(-1))) break;  // what it holds goes on
             desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
             unbound.erase(unbound.begin()), ordered += cost, waiting += cost;
         }
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -31,9 +31,8 @@
     {
         const std::lock_guard lock(mutex_);
         stopping_ = true;
-        for (const auto& [turn, socket] : live_) socket->shut_down();
+        leave_old();
     }
-    wake_.notify_all();
     crew_.wait();
 }
 
@@ -49,11 +48,8 @@
         const std::lock_guard lock(mutex_);
         if (stopping_ || host == newest_.host) return;
         source = newest_ = {std::move(host), address, newest_.turn + 1};
-        for (const auto& [turn, socket] : live_) {
-            if (over(turn)) socket->shut_down();
-        }
+        leave_old();
     }
-    wake_.notify_all();
     if (crew_.start([this, source] { watch_on(source); })) return;
     log_.error("discovery: no thread for {}: the old address stays", source.host);
     const std::lock_guard lock(mutex_);
@@ -64,6 +60,13 @@
     return stopping_ || turn < spoken_ || (turn != spoken_ && turn != newest_.turn);
 }
 
+void DiscoveryWatch::leave_old() {
+    for (const auto& [turn, socket] : live_) {
+        if (over(turn)) socket->shut_down();
+    }
+    wake_.notify_all();
+}
+
 bool DiscoveryWatch::pause(int turn, std::chrono::milliseconds time) {
     std::unique_lock lock(mutex_);
     return !wake_.wait_for(lock, time, [this, turn] { return over(turn); });
@@ -78,10 +81,7 @@
     if (over(source.turn)) return false;
     if (std::exchange(spoken_, source.turn) == source.turn) return true;
     log_.info("discovery: {} has spoken, what was followed before is left", source.host);
-    for (const auto& [turn, socket] : live_) {
-        if (over(turn)) socket->shut_down();
-    }
-    wake_.notify_all();
+    leave_old();
     return true;
 }
 
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -46,6 +46,7 @@
 
     void watch_on(const Source& source);
     bool over(int turn) const;   // under the mutex: it is to end
+    void leave_old();            // under the mutex: wakes those that are over
     bool wants_fetch(int turn);  // or the end
     std::string listen_to(const Source& source, const std::string& target,
                           bool& heard);  // until it breaks: why
