--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -547,9 +547,9 @@
             if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
             if (out != entry.out || repeat) {
                 // The longest due first, or a name could wait for ever; then, for who has just joined, the
-                // latest, which its last planner may not have sent. Coming back waits unless all are out.
+                // latest, which its last planner may not have sent. Who comes back is next; if all are out, first.
                 const double due = seconds((repeat ? told : entry.due).time_since_epoch());
-                const double size = repeat ? 1e12 - due : out ? due : -entry.wanted.sum();
+                const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
                 if (out && !repeat) ++pressed, oldest = std::min(oldest, entry.due);
                 continue;
@@ -611,10 +611,10 @@
         const auto fits = [&](int rank, double more, int subset, int since) {
             if (desk.now < (rank == 0 ? next_pressing : next_learnt)) return false;
             const double others = loose + after(since) + head * after(std::min(first, since));
-            // Who comes back is capacity: where tables are parts it is worth as much room as a binding.
-            const bool back = rank == 1 && since == 0 && subsets.size() > 1;
+            // Who comes back is capacity: it is worth as much room as a binding, and no part of the pace.
+            const bool back = rank == 1 && since == 0;
             return to_bound(head, more, subset) + others <= room(back ? -1 : rank) &&
-                   (rank == 0 || to_bound(kDesignHead, more, subset) <= std::max(allowance, 0.0));
+                   (rank == 0 || back || to_bound(kDesignHead, more, subset) <= std::max(allowance, 0.0));
         };
         // Guards against more withdrawals than the channel carries within the grace, for many servers or many
         // proxies: nothing is let in until they are on their way. It costs service for so long.
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -154,6 +154,7 @@
             {"planners", [&] { terms.planners = static_cast<int>(value); }},
             {"zones", [&] { terms.zones = static_cast<int>(value); }},
             {"pace", [&] { terms.lines_per_second = value; }},
+            {"grace", [&] { terms.drain_grace = ms(value); }},
             {"waiting", [&] { terms.lines_waiting_most = value; }},
             {"messages", [&] { terms.messages_most = static_cast<int>(value); }},
             {"slices", [&] { terms.slices = static_cast<int>(value); }},
