--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -547,7 +547,7 @@
             if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
             if (out != entry.out || repeat) {
                 // The longest due first, or a name could wait for ever; then, for who has just joined, the
-                // latest, as its last planner may not have sent it; then who comes back, but first if all are out.
+                // latest, as its last planner may not have sent it; then who comes back (if all are out, first).
                 const double due = seconds((repeat ? told : entry.due).time_since_epoch());
                 const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
