--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -75,9 +75,7 @@
         for (double* sum : {&self.tries, &self.bad, &self.answer_seconds, &self.window}) *sum *= kMemory;
     }
 
-    void tell() {
-        weigher.inbox.push_back(self), keeper.inbox.push_back(self);
-    }
+    void tell() { weigher.inbox.push_back(self), keeper.inbox.push_back(self); }
 };
 
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
@@ -93,9 +91,9 @@
     Desk& desk; Part& channel;
     std::vector<Pool> pools;
     std::map<ServerId, Member> members;
-    std::set<ProxyId> joined;
-    bool changed = false;
-    double limit = 0, total = 0, usual = 0;  // seconds; RPCs a second from all proxies, and by size
+    bool changed = false; Demand demand{};
+    // Seconds; RPCs a second from all proxies, and by size; sizes of all open servers, not long ago.
+    double limit = 0, total = 0, usual = 0, size_most = 0;
 
     Weigher(Desk& desk, Part& channel) : desk(desk), channel(channel) {
         for (int m = 0; m < std::ssize(desk.terms.methods) && desk.terms.slices == 0; ++m) {
@@ -127,9 +125,8 @@
     }
 
     void on(const Pulse&) { if (std::exchange(changed, false)) publish(); }
-    void on(const event::ProxyJoined& note) { joined.insert(note.proxy); }
-    void on(const event::ProxyLeft& note) { joined.erase(note.proxy); }
     void on(const Demand& note) {
+        demand = note;
         for (Pool& pool : pools) {
             double rate = 0;
             for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
@@ -143,11 +140,11 @@
         if (!weigh_evidence(open, rate, answer)) return publish();
         const double ours = rate.sum();
         // Proxies that are not ours are taken to load the servers as ours do.
-        rate *= std::max(1.0, 1.0 * desk.terms.proxies / std::max(1.0, 1.0 * joined.size()));
-        total = rate.sum();
-        // Slow to rise: the fewer servers are left, the more each is sent, but it can do no more than before.
-        const double mean = total / row_of(open, [](const Member& m) { return m.seen.entry.size; }).sum();
-        usual = usual == 0 ? mean : std::min(mean, usual * 1.1);
+        rate *= demand.all_over_ours, total = rate.sum();
+        // What a server surely can do. Neither tries of who comes again count, nor what is sent to those that
+        // are left when others go: these are forgotten by a tenth a step.
+        size_most = std::max(size_most * 0.9, row_of(open, [](auto& m) { return m.seen.entry.size; }).sum());
+        usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
         Shares now(pools.size());  // as published
         for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
@@ -297,16 +294,20 @@
 struct Gate : Part {
     Desk& desk; Part &weigher, &channel;
     Row came = Row(desk.terms.methods.size()), level = Row(1.0, came.size());  // came: older RPCs fade
-    // Parts of base, the RPCs a second of a proxy when last all were let in (whole): what is refused comes
-    // again, and is no more to bear. Bearable: once queues are short again.
-    double window = 0, tries = 0, base = 0, let_in = 1, bearable = 1, last = kLost;
-    bool whole = true; std::set<ProxyId> joined{};
-    Instant next_cut{}, last_look{}, last_beat{};
+    // Parts of base, what came for each RPC that proxies told of when last all were let in (whole): what is
+    // refused comes again, and is no more to bear. Bearable: once queues are short again. Told is summed over
+    // time, as what comes is: a takeover moves neither.
+    double told = 0, telling = 0, window = 0, tries = 0, base = 1, let_in = 1, bearable = 1, last = kLost;
+    bool whole = true; int beats = 0; std::map<ProxyId, double> joined{};
+    Instant next_cut{}, last_look{}, summed{};
     std::vector<std::pair<double, double>> met{};  // answer times and their weights, since the last look
     std::map<std::pair<ZoneId, ZoneId>, std::pair<double, double>> ways{};  // ok and bad, by both zones
 
-    void on(const event::ProxyJoined& note) { joined.insert(note.proxy); }
-    void on(const event::ProxyLeft& note) { joined.erase(note.proxy); }
+    void on(const event::ProxyJoined& n) {
+        on(event::ProxyLeft{n.proxy}), telling += joined[n.proxy] = std::max(n.rpcs_per_second, 1e-3);
+    }
+    void on(const event::ProxyLeft& n) { sum_up(), telling -= joined[n.proxy], joined.erase(n.proxy); }
+    void sum_up() { told += telling * seconds(desk.now - std::exchange(summed, desk.now)); }
     void on(const event::Arrivals& note) { came[note.method.value] += note.count; }
     void on(const Met& note) {
         auto& [ok, bad] = ways[{note.said.from, note.at}];
@@ -315,10 +316,12 @@
     }
 
     void on(const Beat&) {
-        window += last_beat == Instant{} ? 1e-9 : seconds(desk.now - last_beat);
-        weigher.inbox.push_back(Demand{came / window * level});
+        sum_up(), ++beats, window += seconds(desk.step);
+        const double all = telling * std::max(1.0, desk.terms.proxies / std::max(1.0, 1.0 * joined.size()));
+        const double heard = std::max(told / window, telling / 4);  // four times more would be guessed
+        weigher.inbox.push_back(Demand{came * level, std::max(1.0, all / heard), all});
         weigher.inbox.push_back(Step{});  // behind what the servers have told it of this beat
-        window *= kMemory, came *= kMemory, last_beat = desk.now;
+        told *= kMemory, window *= kMemory, came *= kMemory;
     }
 
     void on(const Pulse&) {
@@ -329,7 +332,7 @@
         // What is heard is two looks old, and queues grow on meanwhile.
         const double ahead = std::clamp(3 * answer - 2 * std::exchange(last, answer), answer, 1.5 * answer);
         ways.clear(), tries = 0;
-        if (whole) base = rate();
+        if (whole) base = std::max(rate(), beats < 2 ? 1.0 : 0.0);  // less is heard at first than came
         if (ahead > aim && desk.now >= next_cut) {
             bearable = std::max(bearable * kBackOff, 2 * kLeastLetIn);
             let_in = std::max(bearable * std::max(aim / ahead, 0.5), kLeastLetIn), whole = false;
@@ -345,13 +348,10 @@
     static constexpr double kEnough = 20, kLost = 3600;  // tries for a median; seconds: no answer
     static constexpr double kCut = 8;  // bad ones alone: by chance in 1 of 256 looks, where a half is bad
     // A second, of what the answers leave; a mean so late puts a quarter of exponential answers past it.
-    static constexpr double kGrowth = 0.2, kAim = 0.7;
-    static constexpr double kLeastLetIn = 0.15, kBackOff = 0.85;
+    static constexpr double kGrowth = 0.2, kAim = 0.7, kLeastLetIn = 0.15, kBackOff = 0.85;
     const double aim = kAim * shortest_soft_deadline(desk.terms);
 
-    double rate() const {  // of a proxy
-        return came.sum() / (window + seconds(desk.now - last_beat)) / std::max(1.0, 1.0 * joined.size());
-    }
+    double rate() { return sum_up(), came.sum() / std::max(told, 1e-9); }
     void share_out() {  // least criticality first
         std::multimap<double, std::size_t> order;
         if (whole |= let_in * base >= rate()) let_in = bearable = 1, base = rate();
@@ -547,7 +547,7 @@
             if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
             if (out != entry.out || repeat) {
                 // The longest due first, or a name could wait for ever; then, for who has just joined, the
-                // latest, as its last planner may not have sent it; then who comes back (if all are out, first).
+                // latest, as its last planner may not have sent it; then who is back, first if all are out.
                 const double due = seconds((repeat ? told : entry.due).time_since_epoch());
                 const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -35,7 +35,8 @@
 struct Wish { Standing seen; Row shares; };  // by pool
 struct Handover { TableId slice; ServerId server; double weight; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
-struct Demand { Row rates; };  // RPCs a second let in, by method
+// RPCs let in, by method; all proxies' load over what was heard of ours; RPCs a second that all told of.
+struct Demand { Row rates; double all_over_ours = 1, told = 0; };
 struct Cold { bool any; };      // is a server still cold?
 struct Levels { Row amounts; };               // by method
 
