--- a/src/background/worker.cpp
+++ b/src/background/worker.cpp
@@ -29,7 +29,7 @@
 }
 
 bool Worker::start() {
-    return crew_.start([this] { run(); });
+    return threads_.start([this] { run(); });
 }
 
 void Worker::wake(JobId job) {
@@ -46,7 +46,7 @@
         if (std::exchange(stopping_, true)) return;
     }
     wake_.notify_one();
-    crew_.wait();
+    threads_.wait();
 }
 
 Spent Worker::work_on(JobId job) {
--- a/src/background/worker.hpp
+++ b/src/background/worker.hpp
@@ -7,7 +7,7 @@
 #include <mutex>
 
 #include "background/turns.hpp"
-#include "net/crew.hpp"
+#include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
 
 namespace micaroad::background {
@@ -35,7 +35,7 @@
     Turns turns_;
     std::map<JobId, Work> work_;
     bool stopping_ = false;
-    net::Crew crew_{1, 512 * 1024};
+    net::ThreadGroup threads_{1, 512 * 1024};
 };
 
 }  // namespace micaroad::background
--- a/src/net/door.hpp
+++ b/src/net/acceptor.hpp
@@ -1,20 +1,21 @@
-// The planner's address: takes connections, up to a number, and has its attendant serve them.
+// The planner's address: takes connections, up to a number, and has its event loop serve them.
 #pragma once
 
 #include <map>
 #include <memory>
 #include <mutex>
 
-#include "net/attendant.hpp"
-#include "net/crew.hpp"
+#include "net/event_loop.hpp"
+#include "net/thread_group.hpp"
 
 namespace micaroad::net {
 
-class Door {
+class Acceptor {
  public:
-    // At a time. Past either number the oldest idle stranger goes; where there is none, the newcomer.
-    Door(const House& house, std::size_t most_connections, std::size_t most_strangers);
-    ~Door();
+    // At a time. Past either number the oldest idle unidentified peer goes; where there is none, the
+    // newcomer.
+    Acceptor(const ConnectionContext& context, std::size_t most_connections, std::size_t most_unidentified);
+    ~Acceptor();
 
     bool open(const Address& address, std::string& why);
     Address address() const { return listener_.local(); }
@@ -23,25 +24,26 @@
     void close(StreamId stream);
 
  private:
-    static constexpr std::size_t kThreads = 2;  // the acceptor and the attendant
+    static constexpr std::size_t kThreads = 2;  // the acceptor and the event loop
 
     void accept_on();
     void take(Socket socket, const Address& from);
-    bool has_room();       // under the mutex; makes it, where it can
-    bool shed_stranger();  // under the mutex; false if there is none that is idle
+    bool has_room();           // under the mutex; makes it, where it can
+    bool shed_unidentified();  // under the mutex; false if there is none that is idle
     bool shed_unread();
     std::shared_ptr<Connection> find(StreamId stream);
 
-    House house_;
-    const std::size_t most_, most_strangers_;
+    ConnectionContext context_;
+    const std::size_t most_, most_unidentified_;
     Socket listener_;
     std::mutex mutex_;
     std::map<StreamId, std::shared_ptr<Connection>> connections_;
-    std::map<StreamId, std::shared_ptr<Connection>> strangers_;  // and who was one when it was last looked at
+    std::map<StreamId, std::shared_ptr<Connection>>
+        unidentified_;  // and who was one when it was last looked at
     std::uint64_t next_ = 1;
     bool shut_ = false;
-    Attendant attendant_;
-    Crew crew_{kThreads};  // last: its threads use all of the above
+    EventLoop loop_;
+    ThreadGroup threads_{kThreads};  // last: its threads use all of the above
 };
 
 }  // namespace micaroad::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -20,12 +20,12 @@
 
 }  // namespace
 
-Connection::Connection(House& house, StreamId id, Socket socket, std::string peer)
-    : house_(house),
+Connection::Connection(ConnectionContext& context, StreamId id, Socket socket, std::string peer)
+    : context_(context),
       id_(id),
       socket_(std::move(socket)),
       peer_(std::move(peer)),
-      lines_(house.lines, kStrangerLine),
+      lines_(context.lines, kUnidentifiedLine),
       taken_(steady_clock::now()),
       heard_(taken_) {
     socket_.set_up(kKernelSend, kKernelReceive);
@@ -41,16 +41,16 @@
     close();
     poller_->leave(socket_);
     if (role_ == Role::stream)
-        house_.inbox.put(arrival::StreamEnded{id_, why});
+        context_.inbox.put(arrival::StreamEnded{id_, why});
     else if (role_ == Role::collector)
-        house_.log.info("collector {}: ended, {}", peer_, why);
+        context_.log.info("collector {}: ended, {}", peer_, why);
     else
-        house_.log.info("stranger {}: ended, {}", peer_, why);
+        context_.log.info("unidentified peer {}: ended, {}", peer_, why);
 }
 
 std::optional<std::string> Connection::hear(char* into, std::size_t most) {
     if (const auto by = due(); by && *by <= steady_clock::now()) return overdue();
-    if (role_ != Role::stranger) lines_.allow(protocol::LineReader::kLongest);
+    if (role_ != Role::unidentified) lines_.allow(protocol::LineReader::kLongest);
     const ssize_t got = socket_.receive_now(into, most);
     if (got == 0) return lines_.in_mid_line() ? "its end, in mid-line" : "its end";
     if (got == -1) return "reset";
@@ -60,14 +60,14 @@
                                    [&](std::string_view line) { return (why = take(line)).empty(); });
     if (fault == protocol::LineFault::none) return std::nullopt;
     if (why.empty()) why = protocol::text_of(fault);
-    house_.log.warn("{} sent what can't be used: {}", peer_, why);
-    if (role_ == Role::stranger) (void)socket_.send_now(protocol::kError);
+    context_.log.warn("{} sent what can't be used: {}", peer_, why);
+    if (role_ == Role::unidentified) (void)socket_.send_now(protocol::kError);
     return why;
 }
 
 std::optional<steady_clock::time_point> Connection::due() const {
     switch (role_) {
-        case Role::stranger:
+        case Role::unidentified:
             return taken_ + kJoinDue;
         case Role::collector:
             return heard_ + kCollectorPatience;
@@ -78,12 +78,12 @@
 }
 
 std::string Connection::overdue() const {
-    return role_ == Role::stranger ? "it did not join in time" : "it fell silent";
+    return role_ == Role::unidentified ? "it did not join in time" : "it fell silent";
 }
 
-// What a joined peer says amiss costs it that line; a stranger has nothing to lose.
+// What a joined peer says amiss costs it that line; an unidentified peer has nothing to lose.
 std::string Connection::take(std::string_view line) {
-    const auto verdict = protocol::read_message(line, house_.names, house_.bounds);
+    const auto verdict = protocol::read_message(line, context_.names, context_.bounds);
     if (const auto* unreadable = std::get_if<protocol::Unreadable>(&verdict)) return unreadable->why;
     std::string why;
     if (const auto* spoilt = std::get_if<protocol::Spoilt>(&verdict)) {
@@ -92,12 +92,12 @@
         heard_ = steady_clock::now();
         why = std::visit([&](const auto& said) { return take(said); }, std::get<protocol::Message>(verdict));
     }
-    if (why.empty() || role_ == Role::stranger) return why;
-    house_.log.warn("{}: a line is dropped: {}: {}", peer_, why, printable(line));
+    if (why.empty() || role_ == Role::unidentified) return why;
+    context_.log.warn("{}: a line is dropped: {}: {}", peer_, why, printable(line));
     return {};
 }
 
-// Not once it is to end: a stranger that is shed is not taken any more.
+// Not once it is to end: an unidentified peer that is shed is not taken any more.
 bool Connection::become(Role role) {
     const std::lock_guard lock(mutex_);
     if (!closing_) role_ = role;
@@ -111,36 +111,36 @@
 }
 
 std::string Connection::take(const protocol::CollectorNamed& named) {
-    if (role_ != Role::stranger) return kSecondRole;
+    if (role_ != Role::unidentified) return kSecondRole;
     if (!become(Role::collector)) return kShed;
-    house_.log.info("collector {} speaks for {}", peer_, house_.names.zone(named.zone));
+    context_.log.info("collector {} speaks for {}", peer_, context_.names.zone(named.zone));
     return {};
 }
 
 std::string Connection::take(const event::ProxyJoined& joined) {
-    if (role_ != Role::stranger) return kSecondRole;
+    if (role_ != Role::unidentified) return kSecondRole;
     if (!become(Role::stream)) return kShed;
     proxy_ = joined.proxy;
-    house_.inbox.put(arrival::StreamBegun{id_, joined});
+    context_.inbox.put(arrival::StreamBegun{id_, joined});
     return {};
 }
 
 std::string Connection::take(const event::MarkApplied& applied) {
     if (role_ != Role::stream || applied.proxy != proxy_) return "an answer that is not this proxy's";
-    house_.inbox.put(arrival::StreamAnswered{id_, applied});
+    context_.inbox.put(arrival::StreamAnswered{id_, applied});
     return {};
 }
 
 std::string Connection::take(const event::Outcomes& met) {
     if (role_ != Role::collector) return "outcomes from what is no collector";
-    house_.inbox.put(arrival::Reported{met});
+    context_.inbox.put(arrival::Reported{met});
     return {};
 }
 
 std::string Connection::take(const event::Arrivals& came) {
-    if (role_ == Role::stranger || (role_ == Role::stream && came.proxy != proxy_))
+    if (role_ == Role::unidentified || (role_ == Role::stream && came.proxy != proxy_))
         return "usage from what is neither a collector nor that proxy";
-    house_.inbox.put(arrival::Reported{came});
+    context_.inbox.put(arrival::Reported{came});
     return {};
 }
 
@@ -148,7 +148,7 @@
     const std::lock_guard lock(mutex_);
     if (closing_) return Posted::yes;  // its end is on the way
     if (unread_.size() > kMostUnread) return Posted::not_read;
-    if (!unread_.append(house_.writing, message)) return Posted::no_buffer;
+    if (!unread_.append(context_.writing, message)) return Posted::no_buffer;
     if (!waits_for_room_) send_on();
     return Posted::yes;
 }
@@ -163,13 +163,13 @@
     if (!closing_) send_on();
 }
 
-// As much as the kernel takes at once. What is left waits for room, of which the attendant tells.
+// As much as the kernel takes at once. What is left waits for room, of which the event loop tells.
 void Connection::send_on() {
     bool full = false;
     while (!full && (first_ || !unread_.empty())) {
         if (!first_) first_ = unread_.take_front(), sent_ = 0;
         const ssize_t sent = socket_.send_some(first_->view().substr(sent_));
-        if (sent < 0) return socket_.shut_down();  // the attendant hears its end
+        if (sent < 0) return socket_.shut_down();  // the event loop hears its end
         sent_ += static_cast<std::size_t>(sent);
         full = sent_ < first_->size;
         if (!full) first_.reset();
@@ -187,7 +187,7 @@
 
 bool Connection::close_if_idle() {
     const std::lock_guard lock(mutex_);
-    if (role_ != Role::stranger || closing_ || socket_.has_bytes()) return false;
+    if (role_ != Role::unidentified || closing_ || socket_.has_bytes()) return false;
     closing_ = true;
     socket_.shut_down();
     return true;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -1,5 +1,5 @@
-// One connection that was taken: what it says becomes arrivals, and what it is told goes out as it reads. It never
-// waits: an Attendant calls when there is something to hear or room to write.
+// One connection that was taken: what it says becomes arrivals, and what it is told goes out as it reads. It
+// never waits: an EventLoop calls when there is something to hear or room to write.
 #pragma once
 
 #include <atomic>
@@ -19,10 +19,10 @@
 
 namespace micaroad::net {
 
-enum class Role { stranger, collector, stream };
+enum class Role { unidentified, collector, stream };
 
 // What every connection shares.
-struct House {
+struct ConnectionContext {
     const Names& names;
     const protocol::Bounds& bounds;
     // Three, so that neither lines without end nor unread orders keep others from being heard.
@@ -40,16 +40,16 @@
     // A collector reports twice a second and dials again at no cost. A stream is never ended for its silence:
     // its proxy would lose it by our doing.
     static constexpr std::chrono::seconds kCollectorPatience{60};
-    static constexpr std::size_t kStrangerLine = 1024;  // ten times a joining
+    static constexpr std::size_t kUnidentifiedLine = 1024;  // ten times a joining
     // Orders on top of as many unread bytes: the proxy has stopped reading.
     static constexpr std::size_t kMostUnread = 128 * 1024;
     static constexpr int kKernelSend = 16 * 1024,
                          kKernelReceive = 8 * 1024;  // the kernel takes twice as much
 
-    Connection(House& house, StreamId id, Socket socket, std::string peer);
+    Connection(ConnectionContext& context, StreamId id, Socket socket, std::string peer);
 
-    // For the attendant's thread.
-    bool watched_by(const Poller& poller);                         // false: it has no room
+    // For the loop's thread.
+    bool watched_by(const Poller& poller);                          // false: it has no room
     std::optional<std::string> hear(char* into, std::size_t most);  // what has come; why that ends it
     void ended(const std::string& why);
     std::optional<std::chrono::steady_clock::time_point> due() const;  // by when it has to do something
@@ -60,7 +60,7 @@
     Posted post(std::string_view message);  // any thread, never waits
     std::size_t unread();
     void close();          // any thread
-    bool close_if_idle();  // only a stranger of whom nothing waits to be read; any thread
+    bool close_if_idle();  // only an unidentified peer of whom nothing waits to be read; any thread
     Role role() const { return role_; }
     StreamId id() const { return id_; }
 
@@ -77,13 +77,13 @@
     std::string take(const event::Arrivals& came);
     void send_on();  // under the mutex
 
-    House& house_;
+    ConnectionContext& context_;
     const Poller* poller_ = nullptr;
     const StreamId id_;
     const Socket socket_;
     const std::string peer_;
-    std::atomic<Role> role_{Role::stranger};
-    ProxyId proxy_{-1};  // this and what follows: the attendant's
+    std::atomic<Role> role_{Role::unidentified};
+    ProxyId proxy_{-1};  // this and what follows: the loop's
     protocol::LineReader lines_;
     const std::chrono::steady_clock::time_point taken_;
     std::chrono::steady_clock::time_point heard_;
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -24,7 +24,7 @@
 DiscoveryWatch::~DiscoveryWatch() { stop(); }
 
 bool DiscoveryWatch::start() {
-    return crew_.start([this, source = newest_] { watch_on(source); });
+    return threads_.start([this, source = newest_] { watch_on(source); });
 }
 
 void DiscoveryWatch::stop() {
@@ -33,7 +33,7 @@
         stopping_ = true;
         leave_old();
     }
-    crew_.wait();
+    threads_.wait();
 }
 
 void DiscoveryWatch::fetch() {
@@ -50,7 +50,7 @@
         source = newest_ = {std::move(host), address, newest_.turn + 1};
         leave_old();
     }
-    if (crew_.start([this, source] { watch_on(source); })) return;
+    if (threads_.start([this, source] { watch_on(source); })) return;
     log_.error("discovery: no thread for {}: the old address stays", source.host);
     const std::lock_guard lock(mutex_);
     newest_.host.clear();  // so that it can be told again
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -9,8 +9,8 @@
 #include <string>
 
 #include "log/log.hpp"
-#include "net/crew.hpp"
 #include "net/socket.hpp"
+#include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
 #include "protocol/pool.hpp"
 #include "protocol/server_list.hpp"
@@ -66,7 +66,7 @@
     std::int64_t version_;
     std::map<int, const Socket*> live_;  // by turn
     bool stopping_ = false, fetch_ = false;
-    Crew crew_{kMostSources};
+    ThreadGroup threads_{kMostSources};
 };
 
 }  // namespace micaroad::net
--- a/src/net/attendant.cpp
+++ b/src/net/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "net/attendant.hpp"
+#include "net/event_loop.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,9 +8,10 @@
 
 using std::chrono::steady_clock;
 
-Attendant::Attendant(House& house, std::function<void(StreamId)> gone) : house_(house), gone_(std::move(gone)) {}
+EventLoop::EventLoop(ConnectionContext& context, std::function<void(StreamId)> gone)
+    : context_(context), gone_(std::move(gone)) {}
 
-bool Attendant::attend(std::shared_ptr<Connection> connection) {
+bool EventLoop::add(std::shared_ptr<Connection> connection) {
     const StreamId id = connection->id();
     const auto due = connection->due();
     {
@@ -24,9 +25,9 @@
     return false;
 }
 
-void Attendant::work() {
-    const protocol::Pool::Lease buffer = house_.reading.take();
-    if (!buffer) return house_.log.error("no buffer to read into: nobody is heard");
+void EventLoop::work() {
+    const protocol::Pool::Lease buffer = context_.reading.take();
+    if (!buffer) return context_.log.error("no buffer to read into: nobody is heard");
     Poller::Ready ready[Poller::kMostAtOnce];
     while (!stopping_) {
         const int turns = poller_.wait(ready, wait_ms());
@@ -38,19 +39,20 @@
     }
 }
 
-std::shared_ptr<Connection> Attendant::find(StreamId id) {
+std::shared_ptr<Connection> EventLoop::find(StreamId id) {
     const std::lock_guard lock(mutex_);
     const auto at = connections_.find(id);
     return at == connections_.end() ? nullptr : at->second;
 }
 
-void Attendant::serve(const std::shared_ptr<Connection>& connection, unsigned events, char* into, std::size_t most) {
+void EventLoop::serve(const std::shared_ptr<Connection>& connection, unsigned events, char* into,
+                      std::size_t most) {
     if (events & Poller::kWritable) connection->flush();
     if (!(events & Poller::kReadable)) return;
     if (const auto why = connection->hear(into, most)) end(connection, *why);
 }
 
-void Attendant::end(const std::shared_ptr<Connection>& connection, const std::string& why) {
+void EventLoop::end(const std::shared_ptr<Connection>& connection, const std::string& why) {
     connection->ended(why);
     {
         const std::lock_guard lock(mutex_);
@@ -60,7 +62,7 @@
 }
 
 // Who has spoken meanwhile, or has become what need not speak, gets another date or none.
-void Attendant::end_overdue() {
+void EventLoop::end_overdue() {
     const Instant now = steady_clock::now();
     for (;;) {
         std::shared_ptr<Connection> connection;
@@ -82,7 +84,7 @@
     }
 }
 
-int Attendant::wait_ms() {
+int EventLoop::wait_ms() {
     const std::lock_guard lock(mutex_);
     if (due_.empty()) return static_cast<int>(kLongestWait.count());
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(due_.begin()->first - steady_clock::now());
--- a/src/net/health_prober.cpp
+++ b/src/net/health_prober.cpp
@@ -31,7 +31,7 @@
     }
     wake_.notify_all();
     keeping_.wait();
-    crew_.wait();
+    threads_.wait();
 }
 
 bool HealthProber::replace(routing::Plan plan) {
@@ -55,7 +55,7 @@
         replaced_ = false;
         if (auto list = keeper_.changed(now)) tell_(std::move(*list), keeper_.addresses());
         for (auto& probe : keeper_.take_due(now))
-            crew_.start([this, probe = std::move(probe)] { ask(probe); });
+            threads_.start([this, probe = std::move(probe)] { ask(probe); });
         const Instant due = std::min(keeper_.next_due().value_or(now + kLongestSleep), now + kLongestSleep);
         wake_.wait_for(lock, std::max(due - clock_(), Span{1}),
                        [this] { return stopping_ || replaced_ || !answers_.empty(); });
--- a/src/net/health_prober.hpp
+++ b/src/net/health_prober.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "log/log.hpp"
-#include "net/crew.hpp"
 #include "net/socket.hpp"
+#include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
 #include "routing/keeper.hpp"
 
@@ -43,7 +43,7 @@
     std::vector<std::pair<std::string, bool>> answers_;
     std::set<const Socket*> live_;
     bool stopping_ = false, replaced_ = false;
-    Crew crew_{kMost}, keeping_{1, 256 * 1024};
+    ThreadGroup threads_{kMost}, keeping_{1, 256 * 1024};
 };
 
 }  // namespace micaroad::net
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -10,7 +10,7 @@
         inbox_.put(arrival::ProbeEnded{{server, ok, clock_() - begun}});
     };
     const auto where = address_of(address);
-    if (!where || !crew_.start([this, end, where, address] { end(answers(*where, address)); })) end(false);
+    if (!where || !threads_.start([this, end, where, address] { end(answers(*where, address)); })) end(false);
 }
 
 void Prober::stop() {
@@ -19,7 +19,7 @@
         stopping_ = true;
         for (const Socket* socket : live_) socket->shut_down();
     }
-    crew_.wait();
+    threads_.wait();
 }
 
 bool Prober::answers(const Address& address, const std::string& host) {
--- a/src/net/prober.hpp
+++ b/src/net/prober.hpp
@@ -6,8 +6,8 @@
 #include <set>
 #include <string>
 
-#include "net/crew.hpp"
 #include "net/socket.hpp"
+#include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
 #include "protocol/pool.hpp"
 
@@ -34,7 +34,7 @@
     std::mutex mutex_;
     std::set<const Socket*> live_;
     bool stopping_ = false;
-    Crew crew_{kMost};
+    ThreadGroup threads_{kMost};
 };
 
 }  // namespace micaroad::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-// All proxies and a flood of strangers at once, as far as the kernel goes along; who finds no place waits a second.
+// All proxies and a flood of unidentified peers at once, as far as the kernel goes along; who finds no place
+// waits a second.
 constexpr int kBacklog = 4'096;
 
 }  // namespace
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -46,9 +46,9 @@
     ssize_t receive(char* into, std::size_t most) const;
     ssize_t receive_now(char* into, std::size_t most) const;  // -2 where it would wait
     ssize_t send_some(std::string_view bytes) const;          // as many as go without waiting; -1 on a fault
-    bool send_all(std::string_view bytes) const;  // waits for the peer
-    bool send_now(std::string_view bytes) const;  // false if that would wait
-    void shut_down() const;                       // any thread: whoever waits on it is woken
+    bool send_all(std::string_view bytes) const;              // waits for the peer
+    bool send_now(std::string_view bytes) const;              // false if that would wait
+    void shut_down() const;                                   // any thread: whoever waits on it is woken
 
  private:
     int fd_ = -1;
--- a/src/net/crew.cpp
+++ b/src/net/thread_group.cpp
@@ -1,4 +1,4 @@
-#include "net/crew.hpp"
+#include "net/thread_group.hpp"
 
 #include <pthread.h>
 
@@ -6,12 +6,12 @@
 
 namespace micaroad::net {
 
-struct Crew::Task {
-    Crew& crew;
+struct ThreadGroup::Task {
+    ThreadGroup& threads;
     std::function<void()> work;
 };
 
-bool Crew::start(std::function<void()> work) {
+bool ThreadGroup::start(std::function<void()> work) {
     {
         const std::lock_guard lock(mutex_);
         if (running_ == most_) return false;
@@ -29,21 +29,21 @@
     return started;
 }
 
-void* Crew::run(void* pointer) {
+void* ThreadGroup::run(void* pointer) {
     const std::unique_ptr<Task> task(static_cast<Task*>(pointer));
     task->work();
-    task->work = nullptr;  // what it holds goes before the crew may
-    task->crew.ended();
+    task->work = nullptr;  // what it holds goes before the threads may
+    task->threads.ended();
     return nullptr;
 }
 
-void Crew::ended() {
+void ThreadGroup::ended() {
     const std::lock_guard lock(mutex_);
     --running_;
     gone_.notify_all();
 }
 
-void Crew::wait() {
+void ThreadGroup::wait() {
     std::unique_lock lock(mutex_);
     gone_.wait(lock, [this] { return running_ == 0; });
 }
--- a/src/net/crew.hpp
+++ b/src/net/thread_group.hpp
@@ -7,14 +7,14 @@
 
 namespace micaroad::net {
 
-class Crew {
+class ThreadGroup {
  public:
     static constexpr std::size_t kStack = 128 * 1024;
 
-    explicit Crew(std::size_t most, std::size_t stack = kStack) : most_(most), stack_(stack) {}
-    ~Crew() { wait(); }
-    Crew(const Crew&) = delete;
-    Crew& operator=(const Crew&) = delete;
+    explicit ThreadGroup(std::size_t most, std::size_t stack = kStack) : most_(most), stack_(stack) {}
+    ~ThreadGroup() { wait(); }
+    ThreadGroup(const ThreadGroup&) = delete;
+    ThreadGroup& operator=(const ThreadGroup&) = delete;
 
     bool start(std::function<void()> work);  // false if there is no room for one more
     void wait();                             // until all have ended
--- a/src/planner/limits.hpp
+++ b/src/planner/limits.hpp
@@ -9,7 +9,7 @@
 namespace micaroad {
 
 struct Limits {
-    std::size_t connections, strangers;     // strangers among them
+    std::size_t connections, unidentified;  // unidentified peers among them
     std::size_t line_buffers, out_buffers;  // for lines in the making, and for orders
     bool enough;                            // for all proxies and collectors at once
 
@@ -18,7 +18,7 @@
     static constexpr std::size_t kProgram = 10 * 1024 * 1024;  // code, module, outbox, list, inbox, log
     // A connection: its object, what is held of a line or an order, what the kernel holds on a usual day.
     static constexpr std::size_t kConnection = 24 * 1024;
-    static constexpr std::size_t kLeastStrangers = 8;
+    static constexpr std::size_t kLeastUnidentified = 8;
 
     static Limits of(std::size_t memory_mb, std::size_t sockets, std::size_t proxies, std::size_t zones) {
         const std::size_t memory = std::max<std::size_t>(memory_mb, 16) * 1024 * 1024;
@@ -30,11 +30,11 @@
         limits.connections = std::min(by_memory, by_sockets);
         // A collector may come anew before its old connection ends.
         const std::size_t joined = proxies + 2 * zones;
-        limits.enough = joined + kLeastStrangers <= limits.connections;
-        // All proxies may come within a second and are strangers until they are heard: a quarter of the room at
-        // least. Whoever says nothing makes way for them.
-        const std::size_t beside = limits.enough ? limits.connections - joined : kLeastStrangers;
-        limits.strangers = std::max({beside, limits.connections / 4, kLeastStrangers});
+        limits.enough = joined + kLeastUnidentified <= limits.connections;
+        // All proxies may come within a second and are unidentified peers until they are heard: a quarter of
+        // the room at least. Whoever says nothing makes way for them.
+        const std::size_t beside = limits.enough ? limits.connections - joined : kLeastUnidentified;
+        limits.unidentified = std::max({beside, limits.connections / 4, kLeastUnidentified});
         return limits;
     }
 };
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -43,8 +43,8 @@
       lines_(limits_.line_buffers),
       writing_(limits_.out_buffers),
       inbox_(clock_),
-      door_({start_.names, start_.bounds, reading_, lines_, writing_, inbox_, log_}, limits_.connections,
-            limits_.strangers),
+      acceptor_({start_.names, start_.bounds, reading_, lines_, writing_, inbox_, log_}, limits_.connections,
+                limits_.unidentified),
       prober_(reading_, inbox_, clock_),
       watch_(start_.discovery,
              start_.discovery.empty() ? net::Address{} : address_or_throw(start_.discovery, "discovery"),
@@ -71,7 +71,8 @@
 // Nobody is told `alive` before the module has heard the list it is to begin with.
 bool Program::begin_serving(std::string& why) {
     enter(Stage::hearing_known);
-    log_.info("room for {} connections, {} strangers among them", limits_.connections, limits_.strangers);
+    log_.info("room for {} connections, {} unidentified peers among them", limits_.connections,
+              limits_.unidentified);
     if (!limits_.enough)
         log_.warn("'limits' don't suffice for {} proxies at once: who comes last is turned away",
                   start_.terms.proxies);
@@ -81,7 +82,7 @@
         why = "no thread for discovery";
         return false;
     }
-    return door_.open(listen_, why);
+    return acceptor_.open(listen_, why);
 }
 
 int Program::run() {
@@ -91,12 +92,12 @@
         return 1;
     }
     enter(Stage::serving);
-    if (!core_crew_.start([this] { decide_on(); })) broken_ = true;
-    core_crew_.wait();
+    if (!core_thread_.start([this] { decide_on(); })) broken_ = true;
+    core_thread_.wait();
     enter(Stage::ending);
     watch_.stop();
     prober_.stop();
-    door_.shut();
+    acceptor_.shut();
     enter(broken_ ? Stage::failed : Stage::ended);
     return broken_ ? 1 : 0;
 }
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -4,8 +4,8 @@
 #include <atomic>
 
 #include "log/log.hpp"
+#include "net/acceptor.hpp"
 #include "net/discovery_watch.hpp"
-#include "net/door.hpp"
 #include "net/prober.hpp"
 #include "planner/core.hpp"
 #include "planner/limits.hpp"
@@ -29,14 +29,14 @@
     // Reads the start file again, on the caller's thread. One that can't be used changes nothing.
     void reload(const Environment& environment);
     Stage stage() const { return stage_; }
-    net::Address address() const { return door_.address(); }
+    net::Address address() const { return acceptor_.address(); }
 
  private:
     static constexpr std::size_t kCoreStack = 1024 * 1024;
-    static constexpr std::size_t kReaders = 64;  // the attendant, discovery, probes
+    static constexpr std::size_t kReaders = 64;  // the event loop, discovery, probes
 
-    void write(StreamId stream, std::string_view message) override { door_.write(stream, message); }
-    void close(StreamId stream) override { door_.close(stream); }
+    void write(StreamId stream, std::string_view message) override { acceptor_.write(stream, message); }
+    void close(StreamId stream) override { acceptor_.close(stream); }
     void probe(const ServerId& server, const std::string& address) override { prober_.ask(server, address); }
     void fetch_list() override { watch_.fetch(); }
     void follow(const std::string& discovery) override;
@@ -52,12 +52,12 @@
     const Limits limits_;
     protocol::Pool reading_, lines_, writing_;
     Inbox inbox_;
-    net::Door door_;
+    net::Acceptor acceptor_;
     net::Prober prober_;
     net::DiscoveryWatch watch_;
     Core core_;
     std::atomic<bool> broken_{false};
-    net::Crew core_crew_{1, kCoreStack};
+    net::ThreadGroup core_thread_{1, kCoreStack};
 };
 
 }  // namespace micaroad
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -204,8 +204,8 @@
 
 TEST_CASE("room follows from both limits, proxies first") {
     const Limits small = Limits::of(32, 256, 150, 3);
-    CHECK((small.enough && small.connections <= 256 - Limits::kSocketsKept && small.strangers >= 32));
-    CHECK(small.connections - small.strangers >= 156);
+    CHECK((small.enough && small.connections <= 256 - Limits::kSocketsKept && small.unidentified >= 32));
+    CHECK(small.connections - small.unidentified >= 156);
     const std::size_t buffers = small.connections + small.line_buffers * 2 + small.out_buffers;
     CHECK(small.connections * (Limits::kConnection - protocol::Pool::kBlock) + buffers * protocol::Pool::kBlock + Limits::kProgram <=
           std::size_t{32} << 20);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -13,9 +13,9 @@
 #include <thread>
 
 #include "helpers.hpp"
-#include "net/attendant.hpp"
+#include "net/event_loop.hpp"
 #include "net/discovery_watch.hpp"
-#include "net/door.hpp"
+#include "net/acceptor.hpp"
 #include "net/prober.hpp"
 #include "planner/program.hpp"
 
@@ -41,7 +41,7 @@
     protocol::Pool lines{64}, writing{320};
     const protocol::Bounds bounds{8};
 
-    House house() { return {names, bounds, pool, lines, writing, inbox, quiet.log}; }
+    ConnectionContext context() { return {names, bounds, pool, lines, writing, inbox, quiet.log}; }
 
     // The next arrival; any that is no `Kind` fails the test.
     template <class Kind>
@@ -85,19 +85,19 @@
 
 struct Pair : Base {
     Socket peer;
-    House shared = house();
-    Attendant attendant{shared, [](StreamId) {}};
-    Crew crew{1};
+    ConnectionContext shared = context();
+    EventLoop loop{shared, [](StreamId) {}};
+    ThreadGroup threads{1};
     std::shared_ptr<Connection> connection;
     Pair() {
         int ends[2];
         REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
         peer = Socket(ends[1]);
         connection = std::make_shared<Connection>(shared, StreamId{1}, Socket(ends[0]), "peer");
-        REQUIRE(attendant.attend(connection));
-        REQUIRE(crew.start([this] { attendant.work(); }));
+        REQUIRE(loop.add(connection));
+        REQUIRE(threads.start([this] { loop.work(); }));
     }
-    ~Pair() { connection->close(), attendant.stop(), crew.wait(); }
+    ~Pair() { connection->close(), loop.stop(), threads.wait(); }
 };
 
 const std::string kHello = "hello sidecar=3 az=a share=2 standing=1\r\n";
@@ -171,10 +171,10 @@
     CHECK(next<arrival::StreamEnded>().why == "its end, in mid-line");
 }
 
-TEST_CASE_METHOD(Pair, "a stranger is answered; what its role does not allow ends the connection") {
+TEST_CASE_METHOD(Pair, "an unidentified peer is answered; what its role does not allow ends the connection") {
     peer.send_all("probe\r\n");
     CHECK(read_some(peer, 7) == "alive\r\n");
-    SECTION("usage of a stranger") { peer.send_all("demand sidecar=3 kind=lookup n=4 bad=0 window=500\r\n"); }
+    SECTION("usage of an unidentified peer") { peer.send_all("demand sidecar=3 kind=lookup n=4 bad=0 window=500\r\n"); }
     SECTION("a proxy that can't exist") { peer.send_all("hello sidecar=8 az=a share=2 standing=1\r\n"); }
     SECTION("a zone that does not exist") { peer.send_all("agent az=z\r\n"); }
     SECTION("an order") { peer.send_all("push eject=s-1\r\n"); }
@@ -183,7 +183,7 @@
     CHECK(read_some(peer, 7) == "error\r\n");
     CHECK(ended(peer));
     CHECK(connection->role() != Role::stream);
-    attendant.stop(), crew.wait();
+    loop.stop(), threads.wait();
     inbox.put(arrival::Stop{});
     next<arrival::Stop>();  // and nothing before it
 }
@@ -217,28 +217,28 @@
 }
 
 TEST_CASE_METHOD(Base, "who has not joined in time is ended, whatever it sends, and costs a stream nothing") {
-    Door door(house(), 40, 20);
+    Acceptor acceptor(context(), 40, 20);
     std::string why;
-    REQUIRE(door.open(*address_of("127.0.0.1:0"), why));
-    const Socket proxy = dial(door.address());
+    REQUIRE(acceptor.open(*address_of("127.0.0.1:0"), why));
+    const Socket proxy = dial(acceptor.address());
     proxy.send_all(kHello);
     const StreamId stream = next<arrival::StreamBegun>().stream;
     const auto begun = std::chrono::steady_clock::now();
-    const Socket silent = dial(door.address()), asks = dial(door.address()), trickles = dial(door.address());
+    const Socket silent = dial(acceptor.address()), asks = dial(acceptor.address()), trickles = dial(acceptor.address());
     while (std::chrono::steady_clock::now() < begun + Connection::kJoinDue - 200ms) {
         asks.send_all("probe\r\n"), trickles.send_all("h");
         std::this_thread::sleep_for(50ms);
     }
-    for (const Socket* stranger : {&silent, &asks, &trickles}) CHECK(ended(*stranger));
+    for (const Socket* one : {&silent, &asks, &trickles}) CHECK(ended(*one));
     CHECK(std::chrono::steady_clock::now() < begun + 2 * Connection::kJoinDue);
     // A flood of silent ones: the oldest go, each newcomer is heard, the stream stands.
     std::vector<Socket> flood;
-    for (int i = 0; i < 60; ++i) flood.push_back(dial(door.address()));
-    const Socket late = dial(door.address());
+    for (int i = 0; i < 60; ++i) flood.push_back(dial(acceptor.address()));
+    const Socket late = dial(acceptor.address());
     late.send_all("hello sidecar=5 az=a share=2 standing=1\r\n");
     CHECK(next<arrival::StreamBegun>().joined.proxy == ProxyId{5});
     CHECK(ended(flood.front()));
-    door.write(stream, "push nonce_out=1\r\n");
+    acceptor.write(stream, "push nonce_out=1\r\n");
     CHECK(read_some(proxy, 18).size() == 18);
 }
 
@@ -255,28 +255,28 @@
     next<arrival::StreamEnded>();
 }
 
-TEST_CASE_METHOD(Base, "the door takes, sheds strangers first, and ends all it took") {
-    Door door(house(), 3, 3);
+TEST_CASE_METHOD(Base, "the acceptor takes, sheds unidentified peers first, and ends all it took") {
+    Acceptor acceptor(context(), 3, 3);
     std::string why;
-    REQUIRE(door.open(*address_of("127.0.0.1:0"), why));
-    const Socket first = dial(door.address()), proxy = dial(door.address());
+    REQUIRE(acceptor.open(*address_of("127.0.0.1:0"), why));
+    const Socket first = dial(acceptor.address()), proxy = dial(acceptor.address());
     proxy.send_all(kHello);
     const StreamId stream = next<arrival::StreamBegun>().stream;
-    door.write(stream, "push nonce_out=1\r\n");
+    acceptor.write(stream, "push nonce_out=1\r\n");
     CHECK(read_some(proxy, 18).size() == 18);
-    const Socket collector = dial(door.address());
+    const Socket collector = dial(acceptor.address());
     collector.send_all("agent az=a\r\nprobe\r\n");
     CHECK(read_some(collector, 7).size() == 7);
-    const Socket fourth = dial(door.address());
+    const Socket fourth = dial(acceptor.address());
     CHECK(ended(first));
     fourth.send_all("probe\r\n");
     CHECK(read_some(fourth, 7).size() == 7);
     // A second stream of the same proxy is taken beside the first; the core ends the old one.
-    const Socket again = dial(door.address());
+    const Socket again = dial(acceptor.address());
     CHECK(ended(fourth));
     again.send_all(kHello);
     CHECK(next<arrival::StreamBegun>().stream > stream);
-    door.close(stream);
+    acceptor.close(stream);
     CHECK(next<arrival::StreamEnded>().stream == stream);
     CHECK(ended(proxy));
     // A reset, not an end.
@@ -284,11 +284,11 @@
     ::setsockopt(again.fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     { const Socket gone = std::move(const_cast<Socket&>(again)); }
     CHECK(next<arrival::StreamEnded>().why == "reset");
-    door.shut();
+    acceptor.shut();
     CHECK(ended(collector));
 }
 
-TEST_CASE_METHOD(Base, "a thousand proxies that dial at once all join, among strangers that say nothing") {
+TEST_CASE_METHOD(Base, "a thousand proxies that dial at once all join, among unidentified peers that say nothing") {
     constexpr int kProxies = 1'000;
     rlimit files{};
     REQUIRE(::getrlimit(RLIMIT_NOFILE, &files) == 0);
@@ -297,14 +297,14 @@
     REQUIRE(files.rlim_cur > 2 * kProxies + 500);
     const protocol::Bounds wide{kProxies};
     const Limits limits = Limits::of(192, 2'944, kProxies, 3);
-    Door door(House{names, wide, pool, lines, writing, inbox, quiet.log}, limits.connections, limits.strangers);
+    Acceptor acceptor(ConnectionContext{names, wide, pool, lines, writing, inbox, quiet.log}, limits.connections, limits.unidentified);
     std::string why;
-    REQUIRE(door.open(*address_of("127.0.0.1:0"), why));
+    REQUIRE(acceptor.open(*address_of("127.0.0.1:0"), why));
     std::vector<Socket> proxies, silent;
     for (int i = 0; i < kProxies; ++i) {
-        proxies.push_back(dial(door.address()));
+        proxies.push_back(dial(acceptor.address()));
         proxies.back().send_all("hello sidecar=" + std::to_string(i) + " az=a share=2 standing=1\r\n");
-        if (i % 5 == 0) silent.push_back(dial(door.address()));
+        if (i % 5 == 0) silent.push_back(dial(acceptor.address()));
     }
     std::set<StreamId> streams;
     for (int i = 0; i < kProxies; ++i) streams.insert(next<arrival::StreamBegun>().stream);
@@ -312,9 +312,9 @@
     // No thread for each: processes are given 512 of them on the fleet's days.
     const std::filesystem::directory_iterator threads("/proc/self/task");
     CHECK(std::distance(begin(threads), end(threads)) < 16);
-    for (const StreamId stream : streams) door.write(stream, "push\r\n");
+    for (const StreamId stream : streams) acceptor.write(stream, "push\r\n");
     for (const Socket& proxy : proxies) CHECK(read_some(proxy, 6) == "push\r\n");
-    door.shut();
+    acceptor.shut();
 }
 
 TEST_CASE_METHOD(Base, "the watch goes on through every kind of break, from the version it holds") {
@@ -458,10 +458,10 @@
 }
 
 TEST_CASE_METHOD(Base, "one that does not read loses its stream before it costs another its orders") {
-    Door door(house(), 4, 4);
+    Acceptor acceptor(context(), 4, 4);
     std::string why;
-    REQUIRE(door.open(*address_of("127.0.0.1:0"), why));
-    const Socket idle = dial(door.address()), reader = dial(door.address());
+    REQUIRE(acceptor.open(*address_of("127.0.0.1:0"), why));
+    const Socket idle = dial(acceptor.address()), reader = dial(acceptor.address());
     idle.send_all(kHello);
     const StreamId stuck = next<arrival::StreamBegun>().stream;
     reader.send_all("hello sidecar=4 az=a share=2 standing=1\r\n");
@@ -469,8 +469,8 @@
     // More than the kernel takes for it and the buffers hold; then what is ordered to the other goes out
     // whole.
     const std::string much(100 * 1024, 'x'), order(800 * 1024, 'y');
-    for (int i = 0; i < 20; ++i) door.write(stuck, much);
-    door.write(read, order);
+    for (int i = 0; i < 20; ++i) acceptor.write(stuck, much);
+    acceptor.write(read, order);
     CHECK(read_some(reader, order.size()) == order);
     CHECK(next<arrival::StreamEnded>().stream == stuck);
 }
