--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -186,11 +186,8 @@
 
    private:
     static constexpr double kMostMove = 0.15, kClamp = 0.95;  // the design's
-    // The design's 0.5, but of the gradient of the cost's logarithm a server: neither a pool's size nor its
-    // traffic sets how fast it learns. Larger steps follow chance.
-    static constexpr double kStepScale = 0.2;
-    // The design starts at a tenth; one slow server of twenty costs less than that and is worth a step.
-    static constexpr double kLeastGain = 0.01;
+    // The design's are 0.5 (here of the cost's logarithm a server, whatever size and traffic) and a tenth.
+    static constexpr double kStepScale = 0.2, kLeastGain = 0.01;
     static constexpr double kLeast = -3;  // a twentieth: what is never tried can't show that it recovered
     // RPCs that weigh as much as the kind's mean: answers vary four- to fivefold more than servers of a kind.
     static constexpr double kDoubt = 20, kDoubtBad = 10;  // failures are few where nothing is wrong
@@ -202,9 +199,8 @@
         for (auto& [id, member] : members) if (member.seen.open) open.push_back(&member);
         return open;
     }
-    // Mechanism 1. Guards against a server that fails fast (looks idle), hangs or can't be reached, and
-    // whatever else makes tries fail: each counts as an answer at twice the tail's limit. It could harm where
-    // few RPCs come, as chance then looks like trouble: hence the doubts, by the kind's mean and the pool's.
+    // Mechanism 1. Guards against a server that fails fast (looks idle), hangs or can't be reached: a failed
+    // try is an answer at twice the tail's limit. It could harm where few RPCs come: hence the doubts.
     bool weigh_evidence(const Members& open, Row& rate, Row& answer) {
         const Row tries = row_of(open, [](const Member& m) { return m.seen.tries; });
         const Row bad = row_of(open, [](const Member& m) { return m.seen.bad; });
@@ -225,10 +221,9 @@
         return start ? seconds(desk.now - *start) / seconds(desk.terms.warm_after) : 1;
     }
 
-    // Mechanism 2. Guards against pushing over a server that is still cold, whatever brought it down and
-    // however many there are. The design starts it at a quarter and doubles; here its part is what it can do
-    // at least by its age, four deviations under the limit from all proxies, and none in its first quarter
-    // (half where no load is known). It costs capacity. One whose tries all failed so far is on trial.
+    // Mechanism 2. Guards against pushing over a cold server: it gets what it can do at least by its age (the
+    // design: a quarter), four deviations under the limit from all, and nothing in its first quarter (half if
+    // no load is known). It costs capacity. One whose tries all failed so far is on trial.
     double ceiling(const Member& member, double listed) const {
         const Terms& t = desk.terms;
         const double most = member.doubted ? kTrial * listed : 1;
@@ -279,7 +274,7 @@
         for (std::size_t k = 0; k < pools.size(); ++k) {
             for (std::size_t i = 0; i < open.size(); ++i) open[i]->share[k] = share[k][i];
         }
-        for (const auto& [id, member] : members) channel.inbox.push_back(Wish{member.seen, member.share});
+        for (const auto& [id, m] : members) channel.inbox.push_back(Wish{m.seen, m.share, warmth(m) < 1});
         channel.inbox.push_back(Cold{std::ranges::any_of(open, [&](auto* m) { return warmth(*m) < 1; })});
         std::erase_if(members, [](const auto& member) { return member.second.seen.gone(); });
     }
@@ -287,16 +282,14 @@
 
 // ---- Levels ----------------------------------------------------------------------------------------------
 
-// Mechanism 3. Guards against a fleet that is late as a whole (overload, shared slowness, retry storms): when
-// the median try is later than a part of the soft deadline, less is let in than the fleet bears, so that
-// queues drain; early answers bring most of it back. Failures between two zones that nothing comes back from
-// don't count: less load mends no link. It could harm where load isn't why RPCs are late; hence the floor.
+// Mechanism 3. Guards against a fleet that is late as a whole: when the median try is later than a part of
+// the soft deadline, less is let in than it bears, until answers are early. Failures between zones that
+// nothing comes back from don't count. It could harm where load isn't why: hence the floor.
 struct Gate : Part {
     Desk& desk; Part &weigher, &channel;
     Row came = Row(desk.terms.methods.size()), level = Row(1.0, came.size());  // came: older RPCs fade
-    // Parts of base, what came for each RPC that proxies told of when last all were let in (whole): what is
-    // refused comes again, and is no more to bear. Bearable: once queues are short again. Told is summed over
-    // time, as what comes is: a takeover moves neither.
+    // Parts of base, what came for each RPC told of when last all were let in (whole): who is refused comes
+    // again. Bearable: once queues are short again. Told is summed over time, as what comes is.
     double told = 0, telling = 0, window = 0, tries = 0, base = 1, let_in = 1, bearable = 1, last = kLost;
     bool whole = true; int beats = 0; std::map<ProxyId, double> joined{};
     Instant next_cut{}, last_look{}, summed{};
@@ -367,23 +360,22 @@
 
 // ---- The channel: what goes to the proxies, and when -----------------------------------------------------
 
-// Mechanism 5. Guards against proxies that go by what no longer holds and a channel choked by its own orders,
-// whoever joins or dies at once: what must stop goes first, as withdrawals; learnt changes keep to half the
-// pace; joined proxies are bound in what room is left, the busiest first. Answered marks tell what waits, so
-// a slow channel is sent less. It could harm where they get lost: then the told pace frees some room.
+// Mechanism 5. Guards against proxies that go by what no longer holds and a channel choked by its own orders:
+// what must stop goes first, as withdrawals; learnt changes keep to half the pace; who joins is bound in what
+// room is left, busiest first. Answered marks tell what waits; where they get lost the told pace frees room.
 struct Channel : Part {
-    // Mechanism 4. Only after proof that the first never ran, and none while a level is cut or a server cold:
-    // no effect comes twice, and neither a busy fleet nor a cold server is sent what others refuse.
+    // Mechanism 4. Only on proof that the first never ran; none while a level is cut or a server cold.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
     struct Entry {
         Row wanted, sent;  // shares by pool
-        bool out = false, shaky = false;  // withdrawn; may be shut out at a proxy that joins
+        bool out = false, shaky = false, cold = false;  // withdrawn; may be shut out at a proxy that joins
         int known_to = 0;  // the last to join of the proxies that were told that it is out
         ZoneId zone{}; std::size_t subset = 0;
-        Instant due{}, left{}, wished{};  // since when it should be, when first it was, last heard of
+        // Since when it should be, when first it was, last heard of; part of the latest tries.
+        Instant due{}, left{}, wished{}; double ok = 1;
     };
-    // Of one zone or all; servers and shares by pool, RPCs a second of its proxies.
-    struct Subset { std::optional<ZoneId> zone; Row dealt, held; double rate = 0; std::set<ProxyId> all; };
+    // Of one zone or all; servers and shares by pool, RPCs a second of its proxies; jammed if fit is below 0.
+    struct Subset { std::optional<ZoneId> zone; Row dealt, held; double rate, fit; std::set<ProxyId> all; };
     Desk& desk;
     std::vector<Binding> bindings{};  // by pool
     std::map<ServerId, Entry> servers{};
@@ -418,7 +410,11 @@
         Entry& entry = servers[note.seen.entry.server];
         if (entry.sent.size() == 0) entry.sent = 0 * note.shares;
         entry.wanted = note.shares, entry.wished = desk.now, stale = true;
-        entry.zone = note.seen.entry.zone, entry.shaky |= !note.seen.steady;
+        entry.zone = note.seen.entry.zone, entry.shaky |= !note.seen.steady, entry.cold = note.cold;
+    }
+    void on(const event::Outcomes& met) {
+        const auto at = servers.find(met.server);
+        if (at != servers.end()) at->second.ok = 1 - met.bad / met.tries, stale |= cold;
     }
     void on(const Pulse&) {
         const double span = seconds(desk.now - std::exchange(counted, desk.now));
@@ -442,10 +438,9 @@
     static constexpr int kForgotten = 8;  // steps after which no report comes
     static constexpr double kBeforeAll = 1e6;  // larger than any change of a share
     // Of the limit on waiting lines. Bindings leave half of it, learnt changes most of the grace too.
-    static constexpr double kLastRoom = 0.9, kOfGrace = 0.15;
-    // Bindings of all its proxies take a planner so much of the grace: twice that where half of them die. So
-    // many tables a proxy, servers a subset. Loads that differ by more than chance move proxies, and one of
-    // another zone counts so much more: crossings are priced, and ways get lost.
+    static constexpr double kLastRoom = 0.9, kOfGrace = 0.15, kJammed = 0.5;  // tries that are ok
+    // Bindings of all take so much of the grace; so many tables a proxy, servers a subset. Loads that differ
+    // by more than chance move proxies; one of another zone counts so much more.
     static constexpr double kBindGrace = 0.2, kTables = 0.4, kLeastSubset = 8, kUneven = 1.25, kAway = 1.5;
     // What comes together shares a message; learnt changes save more heads than waiting costs them.
     static constexpr Span kMerge = std::chrono::milliseconds(200), kMergeLearnt = std::chrono::seconds(1);
@@ -474,9 +469,10 @@
             for (int p = 0; zones > 1 && p < std::ssize(subsets); ++p) subsets[p].zone = {p % int(zones)};
         }
         const auto uses = [](Row share) { return share[share > 0.0] = 1, share; };
-        for (Subset& subset : subsets) subset.dealt = subset.held = Row(bindings.size());
+        for (Subset& subset : subsets) subset.dealt = subset.held = Row(bindings.size()), subset.fit = 0;
         for (auto& [id, e] : servers) if (e.sent.sum() > 0) {
             subsets[e.subset].held += e.wanted, subsets[e.subset].dealt += uses(e.wanted);
+            if (!e.cold) subsets[e.subset].fit += (e.ok - kJammed) * e.wanted.sum();
         }
         for (auto& [id, entry] : servers) {
             if (entry.sent.sum() > 0 || entry.wanted.sum() == 0) continue;
@@ -529,6 +525,9 @@
 
     void make_plan() {
         plan.clear(), pressed = 0, oldest = desk.now, deal_out();
+        // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
+        // that they have would come to it, however small its part. It costs capacity.
+        for (auto& [id, e] : servers) if (e.cold && subsets[e.subset].fit < 0) e.wanted = 0;
         const int newest = unbound.empty() ? 0 : joinings;  // of those that are not bound
         Row had(bindings.size()), meant(bindings.size());  // of the servers that stay in use, by pool
         for (const auto& [id, entry] : servers) for (int k = 0; k < std::ssize(bindings) && !entry.out; ++k) {
@@ -546,8 +545,7 @@
             const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
             if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
             if (out != entry.out || repeat) {
-                // The longest due first, or a name could wait for ever; then, for who has just joined, the
-                // latest, as its last planner may not have sent it; then who is back, first if all are out.
+                // The longest due first; then, for who has just joined, the latest; then who is back.
                 const double due = seconds((repeat ? told : entry.due).time_since_epoch());
                 const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
                 plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
@@ -802,7 +800,8 @@
     void apply(event::Outcomes& met) {
         const auto at = servers_.find(met.server);
         met.bad = std::min(met.bad, met.tries);
-        if (at != servers_.end() && sound(met, desk_.terms)) tell(at->second, met);
+        if (at == servers_.end() || !sound(met, desk_.terms)) return;
+        tell(at->second, met), channel_.inbox.push_back(met);
     }
     template <class Other>
     void apply(Other& event) {  // what can't be meant, or means nothing to any part, is not acted on
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -32,7 +32,7 @@
 struct Bound { ZoneId zone; double rate; std::size_t subset; };  // one that is; RPCs a second
 // Rank (0: can't wait, 1: learnt, 2: tidies up), size, server, pool (below 0: it leaves or comes back).
 using Change = std::tuple<int, double, ServerId, int>;
-struct Wish { Standing seen; Row shares; };  // by pool
+struct Wish { Standing seen; Row shares; bool cold; };  // by pool
 struct Handover { TableId slice; ServerId server; double weight; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
 // RPCs let in, by method; all proxies' load over what was heard of ours; RPCs a second that all told of.
