--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -25,7 +25,7 @@
     return threads_.start([this] { accept_on(); }) && threads_.start([this] { loop_.work(); });
 }
 
-void Acceptor::shut() {
+void Acceptor::begin_shut() {
     listener_.shut_down();
     {
         const std::lock_guard lock(mutex_);
@@ -33,7 +33,16 @@
         for (const auto& [id, connection] : connections_) connection->close();
     }
     loop_.stop();
+}
+
+void Acceptor::shut() {
+    begin_shut();
     threads_.wait();
+    // Guards against a peer that hangs in sending: a socket that is shut down and holds bytes that nobody
+    // reads tells it nothing before it is closed.
+    const std::lock_guard lock(mutex_);
+    connections_.clear(), unidentified_.clear();
+    loop_.let_go_all();
 }
 
 void Acceptor::accept_on() {
@@ -64,7 +73,9 @@
 }
 
 void Acceptor::take(Socket socket, const Address& from) {
+    reach(context_.sync, SyncPoint::connection_accepted);
     std::unique_lock lock(mutex_);
+    if (shut_) return;  // who is listed behind shut() would be ended by nobody
     if (!has_room())
         return context_.log.warn("{} is turned away: {} connections", text_of(from), connections_.size());
     const StreamId id{next_++};
@@ -86,11 +97,14 @@
     return !full || shed_unidentified();
 }
 
+// Who says nothing before who is in the middle of saying it: that may be a proxy on a slow connection.
 bool Acceptor::shed_unidentified() {
-    for (auto at = unidentified_.begin(); at != unidentified_.end(); ++at) {
-        if (!at->second->close_if_idle()) continue;
-        connections_.erase(at->first), unidentified_.erase(at);
-        return true;
+    for (const bool in_mid_line : {false, true}) {
+        for (auto at = unidentified_.begin(); at != unidentified_.end(); ++at) {
+            if (!at->second->close_if_idle(in_mid_line)) continue;
+            connections_.erase(at->first), unidentified_.erase(at);
+            return true;
+        }
     }
     return false;
 }
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -19,7 +19,8 @@
 
     bool open(const Address& address, std::string& why);
     Address address() const { return listener_.local(); }
-    void shut();  // ends every connection; returns when all threads are gone
+    void begin_shut();  // ends every connection, and takes no more
+    void shut();        // and returns when all threads are gone
     void write(StreamId stream, std::string_view message);
     void close(StreamId stream);
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -31,10 +31,10 @@
     socket_.set_up(kKernelSend, kKernelReceive);
 }
 
-bool Connection::watched_by(const Poller& poller) {
+// One that was closed meanwhile needs no watching: it ends with its last owner.
+bool Connection::watch() {
     const std::lock_guard lock(mutex_);
-    poller_ = &poller;
-    return poller.watch(socket_, id_.value);
+    return closing_ || poller_->watch(socket_, id_.value);
 }
 
 void Connection::ended(const std::string& why) {
@@ -48,27 +48,58 @@
         context_.log.info("unidentified peer {}: ended, {}", peer_, why);
 }
 
+// What has come is read before its date is looked at.
 std::optional<std::string> Connection::hear(char* into, std::size_t most) {
-    if (const auto by = due(); by && *by <= steady_clock::now()) return overdue();
-    if (role_ != Role::unidentified) lines_.allow(protocol::LineReader::kLongest);
+    {
+        const std::lock_guard lock(mutex_);
+        hearing_ = true;
+    }
+    reach(context_.sync, SyncPoint::connection_ready);
     const ssize_t got = socket_.receive_now(into, most);
-    if (got == 0) return lines_.in_mid_line() ? "its end, in mid-line" : "its end";
-    if (got == -1) return "reset";
-    if (got == -2) return std::nullopt;
+    reach(context_.sync, SyncPoint::bytes_received);
+    std::optional<std::string> why;
+    if (got == 0) why = lines_.in_mid_line() ? "its end, in mid-line" : "its end";
+    if (got == -1) why = "reset";
+    if (got > 0) why = take_bytes({into, static_cast<std::size_t>(got)});
+    {
+        const std::lock_guard lock(mutex_);
+        hearing_ = false, in_mid_line_ = lines_.in_mid_line();
+    }
+    if (const auto by = due(); !why && by && *by <= steady_clock::now()) why = overdue();
+    return why;
+}
+
+std::optional<std::string> Connection::take_bytes(std::string_view bytes) {
+    if (refused_) {
+        refused_->read += bytes.size();
+        return refused_->read > kMostLingered ? std::optional{refused_->why} : std::nullopt;
+    }
     std::string why;
-    const auto fault = lines_.feed({into, static_cast<std::size_t>(got)},
-                                   [&](std::string_view line) { return (why = take(line)).empty(); });
+    const auto fault = lines_.feed(bytes, [&](std::string_view line) { return (why = take(line)).empty(); });
     if (fault == protocol::LineFault::none) return std::nullopt;
     if (why.empty()) why = protocol::text_of(fault);
     context_.log.warn("{} sent what can't be used: {}", peer_, why);
-    if (role_ == Role::unidentified) (void)socket_.send_now(protocol::kError);
-    return why;
+    return role_ == Role::unidentified ? refuse(why) : why;
+}
+
+// Guards against the `error` that is owed getting lost: its own half is closed, and the peer's read on for a
+// while.
+std::optional<std::string> Connection::refuse(const std::string& why) {
+    {
+        const std::lock_guard lock(mutex_);
+        if (closing_ || !socket_.send_now(protocol::kError)) return why;
+        lingering_ = true;
+    }
+    socket_.end_sending();
+    refused_ = {why, steady_clock::now()};
+    return std::nullopt;
 }
 
 std::optional<steady_clock::time_point> Connection::due() const {
+    if (refused_) return refused_->since + kLinger;
     switch (role_) {
         case Role::unidentified:
-            return taken_ + kJoinDue;
+            return taken_ + (lines_.in_mid_line() ? kLineDue : kJoinDue);
         case Role::collector:
             return heard_ + kCollectorPatience;
         case Role::stream:
@@ -78,6 +109,7 @@
 }
 
 std::string Connection::overdue() const {
+    if (refused_) return refused_->why;
     return role_ == Role::unidentified ? "it did not join in time" : "it fell silent";
 }
 
@@ -100,8 +132,10 @@
 // Not once it is to end: an unidentified peer that is shed is not taken any more.
 bool Connection::become(Role role) {
     const std::lock_guard lock(mutex_);
-    if (!closing_) role_ = role;
-    return !closing_;
+    if (closing_) return false;
+    role_ = role;
+    lines_.allow(protocol::LineReader::kLongest);  // at once: a long line may stand right behind its joining
+    return true;
 }
 
 std::string Connection::take(const protocol::AliveAsked&) {
@@ -127,23 +161,34 @@
 
 std::string Connection::take(const event::MarkApplied& applied) {
     if (role_ != Role::stream || applied.proxy != proxy_) return "an answer that is not this proxy's";
-    context_.inbox.put(arrival::StreamAnswered{id_, applied});
+    if (!context_.inbox.put_of(id_, kMostAnswers, arrival::StreamAnswered{id_, applied})) count_dropped();
     return {};
 }
 
 std::string Connection::take(const event::Outcomes& met) {
     if (role_ != Role::collector) return "outcomes from what is no collector";
-    context_.inbox.put(arrival::Reported{met});
+    if (!context_.inbox.put_of(id_, Inbox::kMostReportsOfOne, arrival::Reported{met})) count_dropped();
     return {};
 }
 
 std::string Connection::take(const event::Arrivals& came) {
     if (role_ == Role::unidentified || (role_ == Role::stream && came.proxy != proxy_))
         return "usage from what is neither a collector nor that proxy";
-    context_.inbox.put(arrival::Reported{came});
+    const std::size_t most = role_ == Role::stream ? kMostAnswers : Inbox::kMostReportsOfOne;
+    if (!context_.inbox.put_of(id_, most, arrival::Reported{came})) count_dropped();
     return {};
 }
 
+// Guards against a peer that floods: what it says past its part costs it that, and the log a line in a while.
+void Connection::count_dropped() {
+    ++dropped_;
+    const auto now = steady_clock::now();
+    if (now - counted_ < kDroppedSaidEvery) return;
+    context_.log.warn("{}: {} messages dropped: more came at once than one peer may say", peer_,
+                      std::exchange(dropped_, 0));
+    counted_ = now;
+}
+
 Connection::Posted Connection::post(std::string_view message) {
     const std::lock_guard lock(mutex_);
     if (closing_) return Posted::yes;  // its end is on the way
@@ -185,9 +230,11 @@
     socket_.shut_down();
 }
 
-bool Connection::close_if_idle() {
+bool Connection::close_if_idle(bool in_mid_line) {
     const std::lock_guard lock(mutex_);
-    if (role_ != Role::unidentified || closing_ || socket_.has_bytes()) return false;
+    if (role_ != Role::unidentified || closing_ || hearing_) return false;
+    if (!lingering_ && socket_.has_bytes()) return false;
+    if (in_mid_line_ && !in_mid_line) return false;
     closing_ = true;
     socket_.shut_down();
     return true;
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -12,48 +12,54 @@
 using std::chrono::steady_clock;
 
 DiscoveryWatch::DiscoveryWatch(std::string host, Address address, Names names, std::int64_t version,
-                               protocol::Pool& pool, Inbox& inbox, Log& log, Patience patience)
+                               protocol::Pool& pool, Inbox& inbox, Log& log, Patience patience,
+                               SyncPoints* sync)
     : patience_(patience),
       pool_(pool),
       inbox_(inbox),
       log_(log),
       reader_(std::move(names)),
       newest_{std::move(host), address, 0},
-      version_(version) {}
+      version_(version),
+      sync_(sync) {}
 
 DiscoveryWatch::~DiscoveryWatch() { stop(); }
 
 bool DiscoveryWatch::start() {
-    return threads_.start([this, source = newest_] { watch_on(source); });
+    const std::lock_guard lock(mutex_);
+    running_ = threads_.start([this, source = newest_] { watch_on(source); }) ? 1 : 0;
+    return running_ > 0;
+}
+
+void DiscoveryWatch::begin_stop() {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    leave_old();
 }
 
 void DiscoveryWatch::stop() {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
-        leave_old();
-    }
+    begin_stop();
     threads_.wait();
 }
 
 void DiscoveryWatch::fetch() {
     const std::lock_guard lock(mutex_);
-    fetch_ = true;
+    if (std::exchange(fetch_, true)) return;  // it is on its way
     if (const auto live = live_.find(spoken_); live != live_.end()) live->second->shut_down();
 }
 
 void DiscoveryWatch::follow(std::string host, Address address) {
-    Source source;
-    {
-        const std::lock_guard lock(mutex_);
-        if (stopping_ || host == newest_.host) return;
-        source = newest_ = {std::move(host), address, newest_.turn + 1};
-        leave_old();
-    }
-    if (threads_.start([this, source] { watch_on(source); })) return;
-    log_.error("discovery: no thread for {}: the old address stays", source.host);
     const std::lock_guard lock(mutex_);
-    newest_.host.clear();  // so that it can be told again
+    if (stopping_ || host == newest_.host) return;
+    newest_ = {std::move(host), address, newest_.turn + 1};
+    leave_old();
+    if (running_ == kMostSources) return;  // the first that ends takes it up
+    if (threads_.start([this, source = newest_] { watch_on(source); })) {
+        ++running_, begun_ = newest_.turn;
+        return;
+    }
+    log_.error("discovery: no thread for {}: the old address stays", newest_.host);
+    begun_ = newest_.turn, newest_.host.clear();  // so that it can be told again
 }
 
 bool DiscoveryWatch::over(int turn) const {
@@ -72,9 +78,9 @@
     return !wake_.wait_for(lock, time, [this, turn] { return over(turn); });
 }
 
-bool DiscoveryWatch::wants_fetch(int turn) {
+bool DiscoveryWatch::interrupted(const Source& source, bool whole) {
     const std::lock_guard lock(mutex_);
-    return (turn == spoken_ && fetch_) || over(turn);
+    return over(source.turn) || (!whole && source.turn == spoken_ && fetch_);
 }
 
 bool DiscoveryWatch::speaks(const Source& source) {
@@ -85,32 +91,52 @@
     return true;
 }
 
-void DiscoveryWatch::watch_on(const Source& source) {
+std::optional<DiscoveryWatch::Asked> DiscoveryWatch::next_question(Source& source, int failed) {
+    const std::lock_guard lock(mutex_);
+    if (over(source.turn)) {
+        // Guards against an address that was told while every thread still had one: none would take it up.
+        if (stopping_ || begun_ == newest_.turn) return --running_, std::nullopt;
+        source = newest_, begun_ = newest_.turn;
+    }
+    if (source.turn == spoken_ && fetch_ && failed >= kFetchTries) fetch_ = false, version_ = 0;
+    if (source.turn == spoken_ && fetch_) return Asked{"/catalog/members", true};
+    return Asked{fmt::format("/catalog/members?stream=1&index={}", version_)};
+}
+
+// Only the list that holds can be lost: one that was told and has never spoken takes nothing away.
+void DiscoveryWatch::lost(const Source& source, const std::string& why) {
+    const std::lock_guard lock(mutex_);
+    const bool holds = source.turn == spoken_;
+    log_.warn("discovery: {}: {}; the {} stands", source.host, why, holds ? "list" : "old address");
+    if (holds) inbox_.put(arrival::WatchLost{});
+}
+
+void DiscoveryWatch::watch_on(Source source) {
     auto wait = patience_.first_wait;
-    for (bool said = false;;) {
-        bool heard = false, fetches;
-        std::int64_t version;
-        {
-            const std::lock_guard lock(mutex_);
-            if (over(source.turn)) return;
-            fetches = source.turn == spoken_ && std::exchange(fetch_, false);
-            version = version_;
+    auto next_fetch = steady_clock::now();
+    int failed = 0, turn = source.turn;  // fetches in a row
+    for (bool said = false; const auto asked = next_question(source, failed);) {
+        if (std::exchange(turn, source.turn) != source.turn)
+            wait = patience_.first_wait, said = false, failed = 0;
+        if (asked->whole) {
+            const auto early = next_fetch - steady_clock::now();
+            if (early > early.zero()) pause(source.turn, std::chrono::ceil<std::chrono::milliseconds>(early));
+            next_fetch = steady_clock::now() + patience_.between_fetches;
         }
-        const std::string target =
-            fetches ? "/catalog/members" : fmt::format("/catalog/members?stream=1&index={}", version);
-        const std::string why = listen_to(source, target, heard);
+        bool heard = false;
+        const std::string why = listen_to(source, *asked, heard);
+        reach(sync_, SyncPoint::watch_answered);
+        const bool wanted = interrupted(source, false);  // the list, or the end
+        failed = asked->whole && wanted ? failed + 1 : 0;
         if (heard) wait = patience_.first_wait, said = false;
-        if ((fetches && heard) || wants_fetch(source.turn)) continue;
-        if (!std::exchange(said, true)) {
-            log_.warn("discovery: {}: {}; the list stands", source.host, why);
-            inbox_.put(arrival::WatchLost{});
-        }
-        if (!pause(source.turn, wait)) return;
+        if (asked->whole ? !wanted || interrupted(source, true) : wanted) continue;
+        if (!std::exchange(said, true)) lost(source, why);
+        pause(source.turn, wait);
         wait = std::min(wait * 2, patience_.longest_wait);
     }
 }
 
-std::string DiscoveryWatch::listen_to(const Source& source, const std::string& target, bool& heard) {
+std::string DiscoveryWatch::listen_to(const Source& source, const Asked& asked, bool& heard) {
     Socket socket = Socket::unconnected(source.address);
     if (!socket.open()) return "no socket";
     struct Live {
@@ -125,10 +151,16 @@
             watch.live_.erase(turn);
         }
     } live{*this, source.turn, socket};
-    if (wants_fetch(source.turn)) return "stopped";
+    if (interrupted(source, asked.whole)) return "stopped";
+    reach(sync_, SyncPoint::watch_registered);
     if (!socket.connect(source.address, patience_.connect)) return "no connection";
+    reach(sync_, SyncPoint::watch_connected);
+    // A socket that is shut down before it is connected may not hear of it: what was told in between is
+    // looked up.
+    if (interrupted(source, asked.whole)) return "stopped";
     socket.wait_at_most(patience_.silence);
-    if (!socket.send_all(protocol::http_get(source.host, target))) return "reset";
+    if (!socket.send_all(protocol::http_get(source.host, asked.target))) return "reset";
+    reach(sync_, SyncPoint::watch_asked);
 
     protocol::HttpReader http;
     protocol::ObjectLines lines;
@@ -170,7 +202,9 @@
     if (line.find_first_not_of(" \t") != std::string_view::npos && !(said = reader_.read(line))) return false;
     if (!speaks(source)) return false;
     if (!said) return true;
-    if (said->list.form == event::List::Form::complete || said->version > version_) version_ = said->version;
+    const bool whole = said->list.form == event::List::Form::complete;
+    if (whole) fetch_ = false;  // not before it has come: an answer that breaks off is asked for again
+    if (whole || said->version > version_) version_ = said->version;
     inbox_.put(arrival::ListTold{std::move(*said)});
     return true;
 }
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -12,6 +12,7 @@
 #include "net/socket.hpp"
 #include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
+#include "planner/sync_points.hpp"
 #include "protocol/pool.hpp"
 #include "protocol/server_list.hpp"
 
@@ -21,18 +22,21 @@
     // Something comes every 2 s. A list may take longer to come whole than its first byte.
     std::chrono::milliseconds silence{2'600}, whole_line{5'000}, connect{400};
     std::chrono::milliseconds first_wait{100}, longest_wait{500};
+    // Between two fetches of the whole list: a discovery whose versions never fit is asked no faster.
+    std::chrono::milliseconds between_fetches{500};
 };
 
 class DiscoveryWatch {
  public:
     using Patience = WatchPatience;
     DiscoveryWatch(std::string host, Address address, Names names, std::int64_t version, protocol::Pool& pool,
-                   Inbox& inbox, Log& log, Patience patience = {});
+                   Inbox& inbox, Log& log, Patience patience = {}, SyncPoints* sync = nullptr);
     ~DiscoveryWatch();
 
     bool start();
     void stop();
-    void fetch();  // the whole list, once more
+    void begin_stop();  // all that is under way ends; stop() waits for it
+    void fetch();       // the whole list, once more: asked for until it has come
     void follow(std::string host, Address address);
 
  private:
@@ -42,14 +46,25 @@
         Address address;
         int turn = 0;
     };
-    static constexpr std::size_t kMostSources = 8;  // each ends within a connection's patience when left
+    // The one that has spoken, the one told last, and one that is being left. What is told while all have
+    // their thread is taken up by the first that ends.
+    static constexpr int kMostSources = 3;
+    // After so many fetches that came to nothing the list is watched again, from the first version on.
+    static constexpr int kFetchTries = 3;
 
-    void watch_on(const Source& source);
-    bool over(int turn) const;   // under the mutex: it is to end
-    void leave_old();            // under the mutex: wakes those that are over
-    bool wants_fetch(int turn);  // or the end
-    std::string listen_to(const Source& source, const std::string& target,
-                          bool& heard);  // until it breaks: why
+    struct Asked {
+        std::string target;
+        bool whole = false;  // the list, not the watch
+    };
+    void watch_on(Source source);
+    std::optional<Asked> next_question(Source& source,
+                                       int failed);  // absent: this thread has nothing left to do
+    bool over(int turn) const;                       // under the mutex: it is to end
+    void leave_old();                                // under the mutex: wakes those that are over
+    bool interrupted(const Source& source,
+                     bool whole);  // something else is to be done than what is under way
+    void lost(const Source& source, const std::string& why);
+    std::string listen_to(const Source& source, const Asked& asked, bool& heard);  // until it breaks: why
     bool speaks(const Source& source);  // under the mutex; false: a later one has, so this one counts no more
     bool take(const Source& source, std::string_view line);
     bool pause(int turn, std::chrono::milliseconds time);  // false: it is to end
@@ -66,7 +81,9 @@
     std::int64_t version_;
     std::map<int, const Socket*> live_;  // by turn
     bool stopping_ = false, fetch_ = false;
-    ThreadGroup threads_{kMostSources};
+    int running_ = 0, begun_ = 0;  // threads that look on; the latest turn that one of them has taken up
+    SyncPoints* const sync_;
+    ThreadGroup threads_{2 * kMostSources};  // some may have said that they end, and not have ended
 };
 
 }  // namespace micaroad::net
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -14,12 +14,14 @@
 bool EventLoop::add(std::shared_ptr<Connection> connection) {
     const StreamId id = connection->id();
     const auto due = connection->due();
+    connection->watched_by(poller_);
     {
         const std::lock_guard lock(mutex_);
         connections_[id] = connection;
         if (due) due_.emplace(*due, id);
     }
-    if (connection->watched_by(poller_)) return true;
+    reach(context_.sync, SyncPoint::connection_listed);
+    if (connection->watch()) return true;
     const std::lock_guard lock(mutex_);
     connections_.erase(id);
     return false;
@@ -35,7 +37,7 @@
             if (const auto connection = find(StreamId{ready[i].token}))
                 serve(connection, ready[i].events, buffer->data(), buffer->size());
         }
-        end_overdue();
+        end_overdue(buffer->data(), buffer->size());
     }
 }
 
@@ -49,7 +51,10 @@
                       std::size_t most) {
     if (events & Poller::kWritable) connection->flush();
     if (!(events & Poller::kReadable)) return;
-    if (const auto why = connection->hear(into, most)) end(connection, *why);
+    const auto before = connection->due();
+    if (const auto why = connection->hear(into, most)) return end(connection, *why);
+    // Only who was refused just now is due sooner than before.
+    if (const auto due = connection->due(); due && before && *due < *before) await(connection->id(), *due);
 }
 
 void EventLoop::end(const std::shared_ptr<Connection>& connection, const std::string& why) {
@@ -61,8 +66,9 @@
     gone_(connection->id());
 }
 
-// Who has spoken meanwhile, or has become what need not speak, gets another date or none.
-void EventLoop::end_overdue() {
+// Who has spoken meanwhile, or has become what need not speak, gets another date or none. Who has spoken and
+// was not heard, as this process had no time, is heard now.
+void EventLoop::end_overdue(char* into, std::size_t most) {
     const Instant now = steady_clock::now();
     for (;;) {
         std::shared_ptr<Connection> connection;
@@ -73,17 +79,29 @@
             due_.erase(due_.begin());
             if (at == connections_.end()) continue;
             connection = at->second;
-            const auto due = connection->due();
-            if (!due) continue;
-            if (*due > now) {
-                due_.emplace(*due, connection->id());
+        }
+        auto due = connection->due();
+        if (due && *due <= now) {
+            if (const auto why = connection->hear(into, most)) {
+                end(connection, *why);
                 continue;
             }
+            due = connection->due();
         }
-        end(connection, connection->overdue());
+        if (due) await(connection->id(), *due);
     }
 }
 
+void EventLoop::await(StreamId id, Instant due) {
+    const std::lock_guard lock(mutex_);
+    due_.emplace(due, id);
+}
+
+void EventLoop::let_go_all() {
+    const std::lock_guard lock(mutex_);
+    connections_.clear(), due_.clear();
+}
+
 int EventLoop::wait_ms() {
     const std::lock_guard lock(mutex_);
     if (due_.empty()) return static_cast<int>(kLongestWait.count());
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -20,14 +20,15 @@
 class EventLoop {
  public:
     using Instant = std::chrono::steady_clock::time_point;
-    // `gone` is told of each connection that ended, by the loop's thread.
+    // `gone` is told of each connection that ended, by the event loop's thread.
     EventLoop(ConnectionContext& context, std::function<void(StreamId)> gone);
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
     bool add(std::shared_ptr<Connection> connection);  // any thread; false: no room for it
     void work();                                       // until stop(); on a thread of its own
-    void stop() { stopping_ = true; }                  // heard within kLongestWait
+    void let_go_all();                 // once work() has returned: nothing of what it served is kept
+    void stop() { stopping_ = true; }  // heard within kLongestWait
 
  private:
     // How long nobody may hear that an unidentified peer came whose time is short, or that it is over.
@@ -36,7 +37,8 @@
     std::shared_ptr<Connection> find(StreamId id);
     void serve(const std::shared_ptr<Connection>& connection, unsigned events, char* into, std::size_t most);
     void end(const std::shared_ptr<Connection>& connection, const std::string& why);
-    void end_overdue();
+    void end_overdue(char* into, std::size_t most);
+    void await(StreamId id, Instant due);
     int wait_ms();
 
     ConnectionContext& context_;
--- a/src/net/health_prober.cpp
+++ b/src/net/health_prober.cpp
@@ -93,6 +93,11 @@
     const Span patience = probe.rule.patience > Span{} ? probe.rule.patience : probe.rule.every;
     const auto until = std::chrono::steady_clock::now() + ms(patience);
     if (!socket.connect(*address, ms(patience))) return false;
+    {
+        // A socket that is shut down before it is connected may not hear of it.
+        const std::lock_guard lock(mutex_);
+        if (stopping_) return false;
+    }
     if (probe.rule.kind == routing::HealthRule::Kind::connect) return true;
     socket.wait_at_most(ms(patience));
     const std::string& host = probe.rule.http_host.empty() ? probe.address : probe.rule.http_host;
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -13,15 +13,22 @@
     if (!where || !threads_.start([this, end, where, address] { end(answers(*where, address)); })) end(false);
 }
 
+void Prober::begin_stop() {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    for (const Socket* socket : live_) socket->shut_down();
+}
+
 void Prober::stop() {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
-        for (const Socket* socket : live_) socket->shut_down();
-    }
+    begin_stop();
     threads_.wait();
 }
 
+bool Prober::stopping() {
+    const std::lock_guard lock(mutex_);
+    return stopping_;
+}
+
 bool Prober::answers(const Address& address, const std::string& host) {
     Socket socket = Socket::unconnected(address);
     if (!socket.open()) return false;
@@ -31,7 +38,11 @@
         live_.insert(&socket);
     }
     const bool ok = [&] {
+        reach(sync_, SyncPoint::probe_registered);
         if (!socket.connect(address, kPatience)) return false;
+        reach(sync_, SyncPoint::probe_connected);
+        // A socket that is shut down before it is connected may not hear of it.
+        if (stopping()) return false;
         socket.wait_at_most(kPatience);
         if (!socket.send_all(protocol::http_get(host, "/ping"))) return false;
         const auto until = std::chrono::steady_clock::now() + kPatience;
--- a/src/net/prober.hpp
+++ b/src/net/prober.hpp
@@ -9,6 +9,7 @@
 #include "net/socket.hpp"
 #include "net/thread_group.hpp"
 #include "planner/inbox.hpp"
+#include "planner/sync_points.hpp"
 #include "protocol/pool.hpp"
 
 namespace micaroad::net {
@@ -18,19 +19,22 @@
     static constexpr std::size_t kMost = 16;  // at a time; one more counts as not answered
     static constexpr std::chrono::milliseconds kPatience{1'000};  // for the connection, then for the answer
 
-    Prober(protocol::Pool& pool, Inbox& inbox, Clock clock)
-        : pool_(pool), inbox_(inbox), clock_(std::move(clock)) {}
+    Prober(protocol::Pool& pool, Inbox& inbox, Clock clock, SyncPoints* sync = nullptr)
+        : pool_(pool), inbox_(inbox), clock_(std::move(clock)), sync_(sync) {}
     ~Prober() { stop(); }
 
     void ask(const ServerId& server, const std::string& address);
+    void begin_stop();  // all that is under way ends; stop() waits for it
     void stop();
 
  private:
     bool answers(const Address& address, const std::string& host);
+    bool stopping();
 
     protocol::Pool& pool_;
     Inbox& inbox_;
     const Clock clock_;
+    SyncPoints* const sync_;
     std::mutex mutex_;
     std::set<const Socket*> live_;
     bool stopping_ = false;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -165,6 +165,8 @@
            static_cast<ssize_t>(bytes.size());
 }
 
+void Socket::end_sending() const { ::shutdown(fd_, SHUT_WR); }
+
 void Socket::shut_down() const {
     if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -48,6 +48,7 @@
     ssize_t send_some(std::string_view bytes) const;          // as many as go without waiting; -1 on a fault
     bool send_all(std::string_view bytes) const;              // waits for the peer
     bool send_now(std::string_view bytes) const;              // false if that would wait
+    void end_sending() const;                                 // the peer hears our end, and can be heard on
     void shut_down() const;                                   // any thread: whoever waits on it is woken
 
  private:
--- a/src/planner/inbox.hpp
+++ b/src/planner/inbox.hpp
@@ -3,6 +3,7 @@
 
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -16,9 +17,10 @@
 
 class Inbox {
  public:
-    // Reports over this many are dropped, the newest first; a core that far behind has no use for them. What
-    // else comes is bounded by the number of streams.
-    static constexpr std::size_t kMostReports = 20'000;
+    // Reports over this many are dropped, the newest first; a core that far behind has no use for them. One
+    // peer may fill half of that, so that whoever floods leaves room for the others. What else comes is
+    // bounded by the number of streams.
+    static constexpr std::size_t kMostReports = 20'000, kMostReportsOfOne = kMostReports / 2;
     struct Item {
         Instant at;
         Arrival arrival;
@@ -27,14 +29,25 @@
     explicit Inbox(Clock clock) : clock_(std::move(clock)) {}
 
     void put(Arrival arrival) {
-        const bool is_report = std::holds_alternative<arrival::Reported>(arrival);
         {
             const std::lock_guard lock(mutex_);
-            if (is_report && ++reports_ > kMostReports) return (void)++dropped_;
             items_.push_back({clock_(), std::move(arrival)});
         }
         wake_.notify_one();
     }
+    // What one peer says and may say often: `most` of it until the core takes all. False: it is dropped, as
+    // that peer floods.
+    bool put_of(StreamId peer, std::size_t most, Arrival arrival) {
+        {
+            const std::lock_guard lock(mutex_);
+            if (++of_one_[peer] > most) return false;
+            if (std::holds_alternative<arrival::Reported>(arrival) && ++reports_ > kMostReports)
+                return ++dropped_, true;
+            items_.push_back({clock_(), std::move(arrival)});
+        }
+        wake_.notify_one();
+        return true;
+    }
 
     // All that has come, as soon as there is anything or the time is there; absent: no such time.
     std::vector<Item> wait(std::optional<Instant> until) {
@@ -44,7 +57,7 @@
             wake_.wait_for(lock, *until - clock_(), any);
         else
             wake_.wait(lock, any);
-        reports_ = 0;
+        reports_ = 0, of_one_.clear();
         return std::exchange(items_, {});
     }
     std::size_t dropped() {
@@ -57,6 +70,7 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     std::vector<Item> items_;
+    std::map<StreamId, std::size_t> of_one_;  // of those that spoke since the core took all
     std::size_t reports_ = 0, dropped_ = 0;
 };
 
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-Program::Program(StartFile start, Clock clock, Log& log, Witness* witness)
+Program::Program(StartFile start, Clock clock, Log& log, Witness* witness, SyncPoints* sync)
     : start_(std::move(start)),
       clock_(std::move(clock)),
       log_(log),
@@ -43,13 +43,14 @@
       lines_(limits_.line_buffers),
       writing_(limits_.out_buffers),
       inbox_(clock_),
-      acceptor_({start_.names, start_.bounds, reading_, lines_, writing_, inbox_, log_}, limits_.connections,
-                limits_.unidentified),
-      prober_(reading_, inbox_, clock_),
+      acceptor_({start_.names, start_.bounds, reading_, lines_, writing_, inbox_, log_, sync},
+                limits_.connections, limits_.unidentified),
+      prober_(reading_, inbox_, clock_, sync),
       watch_(start_.discovery,
              start_.discovery.empty() ? net::Address{} : address_or_throw(start_.discovery, "discovery"),
-             start_.names, start_.known.version, reading_, inbox_, log_),
-      core_(start_.terms, start_.names, start_.seed, *this, log_, witness) {}
+             start_.names, start_.known.version, reading_, inbox_, log_, {}, sync),
+      core_(start_.terms, start_.names, start_.seed, *this, log_, witness),
+      sync_(sync) {}
 
 void Program::enter(Stage stage) {
     stage_ = stage;
@@ -94,10 +95,11 @@
     enter(Stage::serving);
     if (!core_thread_.start([this] { decide_on(); })) broken_ = true;
     core_thread_.wait();
+    reach(sync_, SyncPoint::core_heard_stop);
     enter(Stage::ending);
-    watch_.stop();
-    prober_.stop();
-    acceptor_.shut();
+    // Told all at once, waited for after: what hangs in one keeps none of the others.
+    acceptor_.begin_shut(), watch_.begin_stop(), prober_.begin_stop();
+    watch_.stop(), prober_.stop(), acceptor_.shut();
     enter(broken_ ? Stage::failed : Stage::ended);
     return broken_ ? 1 : 0;
 }
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -19,7 +19,7 @@
 
 class Program : private Outlet {
  public:
-    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr);
+    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr, SyncPoints* sync = nullptr);
 
     // Serves until stop() is called, by any thread. The program's exit code.
     int run();
@@ -57,6 +57,7 @@
     net::DiscoveryWatch watch_;
     Core core_;
     std::atomic<bool> broken_{false};
+    SyncPoints* const sync_;
     net::ThreadGroup core_thread_{1, kCoreStack};
 };
 
