Levels as rates: what lets all in is no longer one RPC a second

At fault: Channel::send_changes wrote SetLevel with 1 for "all" together with the way of trying again, and where admission is a rate 1 is one RPC a second at each proxy: so after the first cold server everything was refused, and with usual_how = 0 from the start. Now 1e6 lets all in there; a brake stays 0. Levels as rates are still not served otherwise (roadmap).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -389,6 +389,7 @@
     // Where proxies do not try so by themselves, the first level tells them.
     Row sent_levels = Row(desk.terms.further_tries == kFurther ? 1.0 : 0.0, desk.terms.methods.size());
     const double head = desk.terms.lines_per_message + 1;  // and a mark
+    const double top = desk.terms.levels == LevelKind::rate ? 1e6 : 1;  // lets all in: none gets so many
     Ledger ledger{};       // charged with no fewer lines than are written
     double allowance = 0; int joinings = 0;  // lines that learnt changes may use; how many joined
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
@@ -625,10 +626,10 @@
         const int rank = levels.max() == 0 || sent_levels.max() == 0 ? 0 : 1;
         const bool worth = turned || std::abs(levels - sent_levels).max() > kLevelWorthSending;
         if (const double all = 1.0 * levels.size(); worth && fits(rank, all, -1, joinings)) {
-            const FurtherTry further = never ? FurtherTry::never : kFurther;
+            const FurtherTry how = never ? FurtherTry::never : kFurther;
             for (std::size_t k = 0; k < bindings.size(); ++k) for (const MethodId m : bindings[k].methods) {
                 for (std::size_t p = 0; p < subsets.size(); ++p) {
-                    desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, levels[m.value], further});
+                    desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
             }
             sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = true;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -159,6 +159,7 @@
             {"messages", [&] { terms.messages_most = static_cast<int>(value); }},
             {"slices", [&] { terms.slices = static_cast<int>(value); }},
             {"single-owner", [&] { terms.single_owner = value != 0; }},
+            {"levels-as-rate", [&] { terms.levels = value != 0 ? LevelKind::rate : LevelKind::share; }},
             {"dropped-may-serve", [&] { terms.dropped_may_serve = value != 0; }},
             {"subscribe", [&] { terms.must_subscribe = value != 0; }},
         };
