Test: the shedding of who got error is waited for, not taken for granted

Seen: one of 200 runs of all crossings, twenty at a time, failed in "who goes on sending after error": the half-close reads as an end, so the place was let go before the acceptor had shed it. Now the test waits until nothing is taken.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -244,7 +244,9 @@
     narrow.sync.await(SyncPoint::connection_ready);
     refused.send_all("and more, which nobody has read");
     const Socket newcomer = narrow.enter();
-    CHECK(ended(refused));
+    const auto until = steady_clock::now() + 2s;  // it goes: nothing more is taken from it
+    for (taken = true; taken && steady_clock::now() < until; std::this_thread::sleep_for(1ms)) taken = refused.send_now("x");
+    CHECK(!taken);
     narrow.sync.let_go(SyncPoint::connection_ready);
     CHECK(alive(newcomer));
 }
