--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -438,7 +438,7 @@
     static constexpr int kForgotten = 8;  // steps after which no report comes
     static constexpr double kBeforeAll = 1e6;  // larger than any change of a share
     // Of the limit on waiting lines. Bindings leave half of it, learnt changes most of the grace too.
-    static constexpr double kLastRoom = 0.9, kOfGrace = 0.15, kJammed = 0.5;  // tries that are ok
+    static constexpr double kLastRoom = 0.9, kOfGrace = 0.15, kJammed = 0.4;  // tries that are ok
     // Bindings of all take so much of the grace; so many tables a proxy, servers a subset. Loads that differ
     // by more than chance move proxies; one of another zone counts so much more.
     static constexpr double kBindGrace = 0.2, kTables = 0.4, kLeastSubset = 8, kUneven = 1.25, kAway = 1.5;
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -75,7 +75,6 @@
 void Acceptor::take(Socket socket, const Address& from) {
     reach(context_.sync, SyncPoint::connection_accepted);
     std::unique_lock lock(mutex_);
-    if (shut_) return;  // who is listed behind shut() would be ended by nobody
     if (!has_room())
         return context_.log.warn("{} is turned away: {} connections", text_of(from), connections_.size());
     const StreamId id{next_++};
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -118,6 +118,11 @@
 void Core::hear(arrival::ListTold& told) {
     auto& [version, list, addresses, dropped] = told.said;
     const bool complete = list.form == event::List::Form::complete;
+    if (foreign(list)) {
+        log_.error("discovery: version {} names no server of our zones and kinds: nothing of it is taken",
+                   version);
+        return complete ? void() : outlet_.fetch_list();  // the whole list tells whose it is
+    }
     if (!complete && version <= version_) {
         if (list.servers.empty()) return;
         log_.warn("discovery: changes of version {} dropped, {} is held", version, version_);
@@ -151,6 +156,21 @@
     tell_module(std::move(list));
 }
 
+// Guards against another deployment's discovery: its servers would take our RPCs. A list that names some of
+// ours and new zones or kinds is ours, and grown.
+bool Core::foreign(const event::List& list) const {
+    bool any = false;
+    for (const ListedServer& server : list.servers) {
+        if (server.phase == Phase::gone) continue;
+        const auto told = [](int place, const std::vector<std::string>& names) {
+            return names.empty() || place < std::ssize(names);
+        };
+        if (told(server.zone.value, names_.zones) && told(server.kind.value, names_.kinds)) return false;
+        any = true;
+    }
+    return any;
+}
+
 std::vector<ServerId> Core::missing_in(const event::List& list) const {
     std::set<ServerId> named;
     for (const ListedServer& server : list.servers) named.insert(server.server);
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -36,6 +36,7 @@
     void hear(arrival::StreamEnded& ended);
     void hear(arrival::Reported& reported);
     void hear(arrival::ListTold& told);
+    bool foreign(const event::List& list) const;
     void drop_removed(event::List& list);
     void forget_removed();
     std::vector<ServerId> missing_in(const event::List& list) const;
--- a/src/planner/limits.hpp
+++ b/src/planner/limits.hpp
@@ -13,8 +13,9 @@
     std::size_t line_buffers, out_buffers;  // for lines in the making, and for orders
     bool enough;                            // for all proxies and collectors at once
 
-    // What is not for connections: discovery while it changes, probes, the listener, files.
-    static constexpr std::size_t kSocketsKept = 24;
+    // What is not for connections: 16 probes, 3 addresses of discovery while it changes, the standard files,
+    // the start file while it is read, listener, poller, and one who is accepted to be turned away.
+    static constexpr std::size_t kSocketsKept = 16 + 3 + 3 + 1 + 1 + 1 + 1;
     static constexpr std::size_t kProgram = 10 * 1024 * 1024;  // code, module, outbox, list, inbox, log
     // A connection: its object, what is held of a line or an order, what the kernel holds on a usual day.
     static constexpr std::size_t kConnection = 24 * 1024;
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -116,8 +116,32 @@
     return read_start_text(text_of_file(environment), environment);
 }
 
+namespace {
+
+bool any_of(const std::vector<std::string>& names, const std::vector<std::string>& among) {
+    return std::any_of(names.begin(), names.end(), [&among](const std::string& name) {
+        return std::find(among.begin(), among.end(), name) != among.end();
+    });
+}
+
+// Guards against another deployment's file in this one's place: not even its discovery is followed.
+void expect_ours(const json& file, const StartFile& start) {
+    const auto settings = file.find("settings");
+    if (settings == file.end()) return;
+    try {
+        const Names names = names_of(*settings);
+        if (any_of(names.methods, start.names.methods) && any_of(names.zones, start.names.zones)) return;
+    } catch (const json::exception& bad) {
+        throw BadStart(std::string("'settings' can't be used: ") + bad.what());
+    }
+    throw BadStart("'settings' names none of our methods, or none of our zones: another deployment's file");
+}
+
+}  // namespace
+
 Reread reread_start_text(const std::string& text, const StartFile& start) {
     const json file = object_of(text);
+    expect_ours(file, start);
     const auto no_variable = [](const char*) -> const char* { return nullptr; };
     Reread reread{text_from(no_variable, "", file, "discovery"), {}};
     for (const auto& [key, told] : rest_of(file)) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -5,6 +5,7 @@
 #include <malloc.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 
 #include "helpers.hpp"
 #include "planner/start_file.hpp"
@@ -246,6 +247,16 @@
     other.replace(other.find("127.0.0.1:1"), 11, "127.0.0.1:2").replace(other.find("1024"), 4, "2048");
     const Reread reread = reread_start_text(other, start);
     CHECK((reread.discovery == "127.0.0.1:2" && reread.unheeded == std::vector<std::string>{"limits"}));
+    // Another deployment's file changes nothing, not even where the list comes from; one that has grown is ours.
+    const auto with = [&other](const std::string& from, const std::string& to) {
+        std::string changed = other;
+        return changed.replace(changed.find(from), from.size(), to);
+    };
+    CHECK_THROWS_WITH(reread_start_text(with("lookup", "fare"), start), Catch::Contains("another deployment"));
+    CHECK_THROWS_WITH(reread_start_text(with(R"("a","b")", R"("x","y")"), start), Catch::Contains("another deployment"));
+    CHECK_THROWS_WITH(reread_start_text(with(R"(["a","b"])", "7"), start), Catch::Contains("settings"));
+    const Reread grown = reread_start_text(with(R"("a","b")", R"("b","c")"), start);
+    CHECK((grown.discovery == "127.0.0.1:2" && grown.unheeded.back() == "settings"));
     CHECK_THROWS_AS(reread_start_text(other.substr(0, other.size() / 2), start), BadStart);
     CHECK_THROWS_WITH(reread_start_text(text("discovery"), start), Catch::Contains("discovery"));
     CHECK_THROWS_AS(read_start_text("", none), BadStart);
@@ -253,3 +264,82 @@
     CHECK_THROWS_WITH(read_start_file(none), Catch::Contains("LB_CONFIG"));
     CHECK_THROWS_WITH(read_start_file([](const char*) { return "/nowhere"; }), Catch::Contains("/nowhere"));
 }
+
+TEST_CASE("a list that belongs to another deployment is not mixed in, whole or in parts; one that has grown is") {
+    Stage stage;
+    stage.turn({Stage::told(test::kList)});
+    stage.turn({Stage::begun(1, 3)});
+    stage.said(1);
+    const auto entry = [](const std::string& id, const std::string& zone, const std::string& kind) {
+        return R"({"id":")" + id + R"(","addr":"h:1","zone":")" + zone + R"(","kind":")" + kind +
+               R"(","state":"up","weight":1,"started_ms":0})";
+    };
+    const auto list = [](int version, bool full, const std::string& entries) {
+        return Stage::told(R"({"version":)" + std::to_string(version) + R"(,"full":)" + (full ? "true" : "false") +
+                           R"(,"servers":[)" + entries + "]}");
+    };
+    stage.turn({list(900, false, entry("x-1", "hall-a", "m1"))});
+    CHECK(stage.ear.fetched == 1);
+    stage.turn({list(900, true, entry("x-1", "hall-a", "m1") + "," + entry("x-2", "a", "type-b"))});
+    stage.run(3'000);
+    CHECK(stage.said(1).find("x-") == std::string::npos);
+    stage.turn({Stage::told(change(42, "draining"))});  // its version has not been taken over either
+    CHECK(stage.names(1, "eject=s-1"));
+    stage.turn({list(43, true, entry("s-2", "b", "m2") + "," + entry("s-9", "hall-a", "m1"))});
+    stage.run(6'000);
+    CHECK(stage.names(1, "s-9"));
+}
+
+namespace {
+
+// All that a deployment is told by its planner over some seconds of the same events.
+std::string day_of(const Terms& terms, const Names& names, const std::string& list, std::uint64_t seed) {
+    test::Quiet quiet;
+    test::HandClock clock;
+    Ear ear;
+    Core core(terms, names, seed, ear, quiet.log);
+    const auto turn = [&](std::vector<Arrival> arrivals) {
+        std::vector<Inbox::Item> items;
+        for (auto& arrival : arrivals) items.push_back({clock.now(), std::move(arrival)});
+        core.turn(items, clock.now());
+    };
+    turn({arrival::ListTold{protocol::ListReader(names).read(list).value()}});
+    for (int p = 0; p < terms.proxies; ++p) turn({Stage::begun(static_cast<std::uint64_t>(p) + 1, p, p % 2 == 0)});
+    for (int step = 0; step < 200; ++step) {
+        clock.tenths += 1'000;
+        std::vector<Arrival> arrivals;
+        for (int m = 0; m < std::ssize(names.methods); ++m)
+            arrivals.push_back(arrival::Reported{event::Arrivals{{step % terms.proxies}, {m}, 9.0 + m, 0, Span{1'000}}});
+        for (const char* server : {"s-1", "s-2"})
+            arrivals.push_back(arrival::Reported{
+                event::Outcomes{{server}, {0}, 12, 12.0 * (step % 50 > 30), Span{300 + step * 9 + server[2]}, Span{1'000}}});
+        turn(std::move(arrivals));
+    }
+    std::string all;
+    for (const auto& [stream, text] : ear.written) all += std::to_string(stream.value) + ": " + text;
+    return all;
+}
+
+}  // namespace
+
+TEST_CASE("two deployments at once in one process decide as each does alone, byte for byte") {
+    Terms other = test::terms();
+    other.methods = {Method{Span{9'000}, 2, true, {}, {}}, Method{Span{30'000}, 1, false, {}, {}}, Method{Span{12'000}, 5, false, {}, {}}};
+    other.zones = 3, other.proxies = 5, other.levels = LevelKind::rate, other.further_tries = FurtherTry::never;
+    other.drain_grace = Span{60'000}, other.lines_per_second = 90;
+    const Names names{{"seat-map", "seat-hold", "pay"}, {"cusco", "puno", "juliaca"}, {"n-8"}};
+    std::string list = test::kList;
+    for (const auto& [from, to] : {std::pair{"\"zone\":\"a\"", "\"zone\":\"puno\""}, {"\"zone\":\"b\"", "\"zone\":\"cusco\""},
+                                   {"\"m1\"", "\"n-8\""}, {"\"m2\"", "\"n-8\""}})
+        list.replace(list.find(from), std::string(from).size(), to);
+    const auto one = [&] { return day_of(test::terms(), test::names(), test::kList, 7); };
+    const auto two = [&] { return day_of(other, names, list, 9); };
+    const std::string first = one(), second = two();
+    REQUIRE((first.size() > 500 && second.size() > 500 && first != second));
+    for (int i = 0; i < 20; ++i) {
+        auto beside = std::async(std::launch::async, two);
+        CHECK(one() == first);
+        CHECK(beside.get() == second);
+    }
+    CHECK(second.find("lookup") == std::string::npos);
+}
