Discovery's lists are read entry by entry, bounded by the memory limit: 56,000 servers

Cause: a line of discovery's watch, and an answer to a fetch, was held whole as text and bounded by a constant of 4 MiB, some 30,000 servers: a whole list of 56,000 (7.4 MB) was never taken. The start file's `known` became a tree and was written out again to be read.

Change: protocol::ListFeed cuts the entries out of the bytes and holds the text of one; JsonCursor reads it, and what is left of the object with `{}` in each entry's place. Its bound is an eighth of limits.memory_mb, 4 MiB at least, and an entry counts 128 bytes at least. A list over it is refused with one log line, what is held stands, and the watch is dialled again after 5 s. How long a list may take to come whole grows with its length. A fetched list may stand on several lines, as PROTOCOL shows it. `known` is read from the file's text, only the rest as a tree; the core gives the addresses away before the module decides.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -12,13 +12,14 @@
 using std::chrono::steady_clock;
 
 DiscoveryWatch::DiscoveryWatch(std::string host, Address address, Names names, std::int64_t version,
-                               protocol::Pool& pool, Inbox& inbox, Log& log, Patience patience,
-                               SyncPoints* sync)
+                               std::size_t list_bytes, protocol::Pool& pool, Inbox& inbox, Log& log,
+                               Patience patience, SyncPoints* sync)
     : patience_(patience),
+      list_bytes_(list_bytes),
       pool_(pool),
       inbox_(inbox),
       log_(log),
-      reader_(std::move(names)),
+      names_(std::move(names)),
       newest_{std::move(host), address, 0},
       version_(version),
       sync_(sync) {}
@@ -123,22 +124,22 @@
             if (early > early.zero()) pause(source.turn, std::chrono::ceil<std::chrono::milliseconds>(early));
             next_fetch = steady_clock::now() + patience_.between_fetches;
         }
-        bool heard = false;
-        const std::string why = listen_to(source, *asked, heard);
+        const Ended ended = listen_to(source, *asked);
         reach(sync_, SyncPoint::watch_answered);
         const bool wanted = interrupted(source, false);  // the list, or the end
         failed = asked->whole && wanted ? failed + 1 : 0;
-        if (heard) wait = patience_.first_wait, said = false;
+        // What is too long is said once, not after each empty line that came before it.
+        if (ended.heard && !ended.too_long) wait = patience_.first_wait, said = false;
         if (asked->whole ? !wanted || interrupted(source, true) : wanted) continue;
-        if (!std::exchange(said, true)) lost(source, why);
-        pause(source.turn, wait);
+        if (!std::exchange(said, true)) lost(source, ended.why);
+        pause(source.turn, ended.too_long ? patience_.after_too_long : wait);
         wait = std::min(wait * 2, patience_.longest_wait);
     }
 }
 
-std::string DiscoveryWatch::listen_to(const Source& source, const Asked& asked, bool& heard) {
+DiscoveryWatch::Ended DiscoveryWatch::listen_to(const Source& source, const Asked& asked) {
     Socket socket = Socket::unconnected(source.address);
-    if (!socket.open()) return "no socket";
+    if (!socket.open()) return {"no socket"};
     struct Live {
         DiscoveryWatch& watch;
         const int turn;
@@ -151,55 +152,69 @@
             watch.live_.erase(turn);
         }
     } live{*this, source.turn, socket};
-    if (interrupted(source, asked.whole)) return "stopped";
+    if (interrupted(source, asked.whole)) return {"stopped"};
     reach(sync_, SyncPoint::watch_registered);
-    if (!socket.connect(source.address, patience_.connect)) return "no connection";
+    if (!socket.connect(source.address, patience_.connect)) return {"no connection"};
     reach(sync_, SyncPoint::watch_connected);
     // A socket that is shut down before it is connected may not hear of it: what was told in between is
     // looked up.
-    if (interrupted(source, asked.whole)) return "stopped";
+    if (interrupted(source, asked.whole)) return {"stopped"};
     socket.wait_at_most(patience_.silence);
-    if (!socket.send_all(protocol::http_get(source.host, asked.target))) return "reset";
+    if (!socket.send_all(protocol::http_get(source.host, asked.target))) return {"reset"};
     reach(sync_, SyncPoint::watch_asked);
 
+    return read_lists(source, asked, socket);
+}
+
+DiscoveryWatch::Ended DiscoveryWatch::read_lists(const Source& source, const Asked& asked,
+                                                 const Socket& socket) {
+    using protocol::ListFault;
     protocol::HttpReader http;
-    protocol::ObjectLines lines;
+    const auto framing = asked.whole ? protocol::ListFraming::document : protocol::ListFraming::line;
+    protocol::ListFeed lists(names_, framing, list_bytes_);
     const protocol::Pool::Lease buffer = pool_.take();
-    if (!buffer) return "no buffer left";
+    if (!buffer) return {"no buffer left"};
     auto last_line = steady_clock::now();
+    bool heard = false, wanted = true;
+    const auto take_one = [&](std::optional<protocol::ListSaid> said) {
+        last_line = steady_clock::now();
+        wanted = wanted && take(source, std::move(said));
+        heard |= wanted;
+    };
     for (;;) {
         const ssize_t got = socket.receive(buffer->data(), buffer->size());
-        if (got == -2) return "silence";
-        if (got < 0) return "reset";
-        if (got == 0 && !http.end()) return "its end";
-        bool fits = true, readable = true;
-        const bool sound =
-            http.feed({buffer->data(), static_cast<std::size_t>(got)}, [&](std::string_view body) {
-                if (http.status() != 200) return;
-                fits = fits && lines.feed(body, [&](std::string_view line) {
-                    last_line = steady_clock::now();
-                    if (readable) readable = take(source, line), heard |= readable;
-                });
-            });
-        if (http.in_body() && http.status() != 200) return fmt::format("status {}", http.status());
-        if (!sound) return "an answer that can't be read";
-        if (!fits) return "a list that is too long";
-        if (!readable) return "a list that can't be read";
-        if (http.done()) {
-            const std::string rest = lines.rest();
-            if (!rest.empty()) heard = take(source, rest);
-            return "the answer's end";
+        if (got == -2) return {"silence", heard};
+        if (got < 0) return {"reset", heard};
+        if (got == 0 && !http.end()) return {"its end", heard};
+        ListFault fault = ListFault::none;
+        const auto feed = [&](std::string_view body) {
+            if (http.status() != 200 || fault != ListFault::none) return;
+            // The names are shared. And held for the inbox too: a left source says nothing behind a later
+            // one.
+            const std::lock_guard lock(mutex_);
+            fault = lists.feed(body, take_one);
+        };
+        const bool sound = http.feed({buffer->data(), static_cast<std::size_t>(got)}, feed);
+        if (http.in_body() && http.status() != 200) return {fmt::format("status {}", http.status()), heard};
+        if (!sound) return {"an answer that can't be read", heard};
+        if (http.done() && fault == ListFault::none) {
+            const std::lock_guard lock(mutex_);
+            fault = lists.finish(take_one);
         }
-        if (steady_clock::now() - last_line > patience_.whole_line) return "no whole line in time";
+        if (fault == ListFault::too_long)
+            return {fmt::format("a list over {} bytes, which the memory limit allows", list_bytes_), heard,
+                    true};
+        if (fault == ListFault::unreadable || !wanted) return {"a list that can't be read", heard};
+        if (http.done()) return {"the answer's end", heard};
+        if (steady_clock::now() - last_line > time_for(lists.size())) return {"no whole line in time", heard};
     }
 }
 
-// An empty line is a sign of life as good as any.
-bool DiscoveryWatch::take(const Source& source, std::string_view line) {
-    const std::lock_guard lock(
-        mutex_);  // held for the inbox too: a left source says nothing behind a later one
-    std::optional<protocol::ListSaid> said;
-    if (line.find_first_not_of(" \t") != std::string_view::npos && !(said = reader_.read(line))) return false;
+std::chrono::milliseconds DiscoveryWatch::time_for(std::size_t list_size) const {
+    return patience_.whole_line + std::chrono::milliseconds{1'000 * list_size / Patience::kSlowestList};
+}
+
+bool DiscoveryWatch::take(const Source& source, std::optional<protocol::ListSaid> said) {
     if (!speaks(source)) return false;
     if (!said) return true;
     const bool whole = said->list.form == event::List::Form::complete;
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -4,8 +4,10 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "log/log.hpp"
@@ -19,18 +21,24 @@
 namespace micaroad::net {
 
 struct WatchPatience {
-    // Something comes every 2 s. A list may take longer to come whole than its first byte.
+    // Something comes every 2 s. A list may take longer to come whole than its first byte: `whole_line`, and
+    // a second more for each kSlowestList bytes of it.
     std::chrono::milliseconds silence{2'600}, whole_line{5'000}, connect{400};
     std::chrono::milliseconds first_wait{100}, longest_wait{500};
+    // After a list over the bound, which is likely to come again as long; below the 6 s in which news is due.
+    std::chrono::milliseconds after_too_long{5'000};
     // Between two fetches of the whole list: a discovery whose versions never fit is asked no faster.
     std::chrono::milliseconds between_fetches{500};
+    static constexpr std::size_t kSlowestList = 512 * 1024;  // bytes a second
 };
 
 class DiscoveryWatch {
  public:
     using Patience = WatchPatience;
-    DiscoveryWatch(std::string host, Address address, Names names, std::int64_t version, protocol::Pool& pool,
-                   Inbox& inbox, Log& log, Patience patience = {}, SyncPoints* sync = nullptr);
+    // A list over `list_bytes`, as protocol::ListFeed counts them, is refused, and what is held stands.
+    DiscoveryWatch(std::string host, Address address, Names names, std::int64_t version,
+                   std::size_t list_bytes, protocol::Pool& pool, Inbox& inbox, Log& log,
+                   Patience patience = {}, SyncPoints* sync = nullptr);
     ~DiscoveryWatch();
 
     bool start();
@@ -64,18 +72,29 @@
     bool interrupted(const Source& source,
                      bool whole);  // something else is to be done than what is under way
     void lost(const Source& source, const std::string& why);
-    std::string listen_to(const Source& source, const Asked& asked, bool& heard);  // until it breaks: why
+    // How a connection came to its end.
+    struct Ended {
+        std::string why;
+        bool heard = false;  // something came of it, an empty line at least
+        bool too_long = false;
+    };
+    Ended listen_to(const Source& source, const Asked& asked);
+    Ended read_lists(const Source& source, const Asked& asked, const Socket& socket);
+    std::chrono::milliseconds time_for(
+        std::size_t list_size) const;   // to come whole, of as many bytes so far
     bool speaks(const Source& source);  // under the mutex; false: a later one has, so this one counts no more
-    bool take(const Source& source, std::string_view line);
+    // Under the mutex. Without a list: an empty line, a sign of life as good as any. False: as speaks().
+    bool take(const Source& source, std::optional<protocol::ListSaid> said);
     bool pause(int turn, std::chrono::milliseconds time);  // false: it is to end
 
     const Patience patience_;
+    const std::size_t list_bytes_;
     protocol::Pool& pool_;
     Inbox& inbox_;
     Log& log_;
     std::mutex mutex_;
     std::condition_variable wake_;
-    protocol::ListReader reader_;
+    Names names_;  // those the deployment told, and those that lists have added
     Source newest_;
     int spoken_ = 0;  // the latest turn that has
     std::int64_t version_;
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -147,11 +147,12 @@
         if (server.phase == Phase::gone)
             held_.erase(server.server), removed_[server.server] = now_;
         else
-            held_[server.server] = {server, addresses[server.server]};
+            held_[server.server] = {server, std::move(addresses[server.server])};
         if (!complete) log_.info("server {} is {}", server.server.value, name_of(server.phase));
     }
     log_.info("discovery: version {}, {} of {} servers{}", version, list.servers.size(), held_.size(),
               complete ? ", the whole list" : "");
+    addresses.clear(), dropped.clear();  // the arrival stays until the module has decided
     outbox_.heard(list);
     tell_module(std::move(list));
 }
--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -48,7 +48,7 @@
       prober_(reading_, inbox_, clock_, sync),
       watch_(start_.discovery,
              start_.discovery.empty() ? net::Address{} : address_or_throw(start_.discovery, "discovery"),
-             start_.names, start_.known.version, reading_, inbox_, log_, {}, sync),
+             start_.names, start_.known.version, limits_.list_bytes, reading_, inbox_, log_, {}, sync),
       core_(start_.terms, start_.names, start_.seed, *this, log_, witness),
       sync_(sync) {}
 
@@ -77,8 +77,12 @@
     if (!limits_.enough)
         log_.warn("'limits' don't suffice for {} proxies at once: who comes last is turned away",
                   start_.terms.proxies);
-    std::vector<Inbox::Item> known{{clock_(), arrival::ListTold{start_.known}}};
-    core_.turn(known, clock_());
+    {
+        std::vector<Inbox::Item> known;
+        known.push_back(
+            {clock_(), arrival::ListTold{std::move(start_.known)}});  // it may be large: no copy stays
+        core_.turn(known, clock_());
+    }
     if (!start_.discovery.empty() && !watch_.start()) {
         why = "no thread for discovery";
         return false;
--- a/src/planner/start_file.cpp
+++ b/src/planner/start_file.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "protocol/json_cursor.hpp"
 #include "protocol/whole_number.hpp"
 
 namespace micaroad {
@@ -66,26 +67,49 @@
     return rest;
 }
 
-json object_of(const std::string& text) {
-    json file = json::parse(text, nullptr, false);
-    if (!file.is_object()) throw BadStart("the start file holds no JSON object");
-    return file;
+constexpr const char* kNoObject = "the start file holds no JSON object";
+
+// The list stands apart: as a tree of objects it would take many times the room of its text.
+struct Parted {
+    json file;               // all but `known`
+    std::string_view known;  // empty: there is none
+};
+
+// `value`, a part of the text, gives way to a null.
+std::string without(const std::string& text, std::string_view value) {
+    if (value.empty()) return text;
+    const auto begin = static_cast<std::size_t>(value.data() - text.data());
+    return text.substr(0, begin).append("null").append(text, begin + value.size());
 }
 
+Parted part(const std::string& text) try {
+    Parted parted;
+    protocol::JsonCursor cursor(text);
+    cursor.object([&](const std::string& key) {
+        const std::string_view value = cursor.raw();
+        if (key == "known") parted.known = value;
+    });
+    cursor.end();
+    parted.file = json::parse(without(text, parted.known), nullptr, false);
+    if (!parted.file.is_object()) throw BadStart(kNoObject);
+    return parted;
+} catch (const protocol::JsonFault&) { throw BadStart(kNoObject); }
+
 std::string text_of_file(const Environment& environment) {
     const char* path = environment("LB_CONFIG");
     if (!path || !*path) throw BadStart("LB_CONFIG is not set");
     const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file || text.str().empty()) throw BadStart(std::string("LB_CONFIG: ") + path + " can't be read");
-    return text.str();
+    std::ostringstream read;
+    read << file.rdbuf();
+    std::string text = std::move(read).str();
+    if (!file || text.empty()) throw BadStart(std::string("LB_CONFIG: ") + path + " can't be read");
+    return text;
 }
 
 }  // namespace
 
 StartFile read_start_text(const std::string& text, const Environment& environment) {
-    const json file = object_of(text);
+    const auto [file, known] = part(text);
     StartFile start;
     start.rest = rest_of(file);
     start.name = text_from(environment, "LB_NAME", file, "name");
@@ -105,9 +129,10 @@
     start.bounds = bounds_of(profile, start.terms);
     start.sockets = limit_from(file, "sockets");
     start.memory_mb = limit_from(file, "memory_mb");
-    auto known = protocol::ListReader(start.names).read(member(file, "known").dump());
-    if (!known) throw BadStart("'known' is no list of servers");
-    start.known = std::move(*known);
+    if (known.empty() || known == "null") throw BadStart("the start file lacks 'known'");
+    auto list = protocol::ListReader(start.names).read(known);
+    if (!list) throw BadStart("'known' is no list of servers");
+    start.known = std::move(*list);
     start.known.list.form = event::List::Form::complete;
     return start;
 }
@@ -140,7 +165,7 @@
 }  // namespace
 
 Reread reread_start_text(const std::string& text, const StartFile& start) {
-    const json file = object_of(text);
+    const json file = part(text).file;
     expect_ours(file, start);
     const auto no_variable = [](const char*) -> const char* { return nullptr; };
     Reread reread{text_from(no_variable, "", file, "discovery"), {}};
--- a/src/protocol/json_cursor.cpp
+++ b/src/protocol/json_cursor.cpp
@@ -165,6 +165,13 @@
     }
 }
 
+std::string_view JsonCursor::raw() {
+    peek();
+    const std::size_t begin = at_;
+    skip();
+    return text_.substr(begin, at_ - begin);
+}
+
 void JsonCursor::end() {
     if (peek() != '\0' || at_ < text_.size()) fail();
 }
--- a/src/protocol/json_cursor.hpp
+++ b/src/protocol/json_cursor.hpp
@@ -35,8 +35,9 @@
     bool boolean();
     bool null();  // whether it is one; if not, nothing is read
     void skip();
-    void end();   // nothing but blanks may follow
-    char peek();  // the next value's first character
+    std::string_view raw();  // the value as it stands, passed over
+    void end();              // nothing but blanks may follow
+    char peek();             // the next value's first character
 
  private:
     void enter(char bracket);
--- a/src/protocol/server_list.cpp
+++ b/src/protocol/server_list.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "protocol/json_cursor.hpp"
 
@@ -82,13 +83,23 @@
     return nullptr;
 }
 
-}  // namespace
+// Sorted by server, each once; of an entry given twice the last counts.
+void keep_last_of_each(std::vector<ListedServer>& servers) {
+    const auto by_id = [](const ListedServer& one, const ListedServer& other) {
+        return one.server < other.server;
+    };
+    std::stable_sort(servers.begin(), servers.end(), by_id);
+    const auto same = [](const ListedServer& one, const ListedServer& other) {
+        return one.server == other.server;
+    };
+    const auto kept = std::unique(servers.rbegin(), servers.rend(), same);
+    servers.erase(servers.begin(), kept.base());
+}
 
-std::optional<ListSaid> ListReader::read(std::string_view text) try {
-    ListSaid said;
+// The entries have been taken out: what stands for one is `{}`.
+void read_frame(std::string_view frame, ListSaid& said) {
     bool full = false, has_version = false, has_servers = false;
-    std::map<ServerId, ListedServer> servers;
-    JsonCursor json(text);
+    JsonCursor json(frame);
     json.object([&](const std::string& key) {
         if (key == "version") {
             const double version = json.number();
@@ -98,34 +109,107 @@
             full = json.boolean();
         } else if (key == "servers") {
             has_servers = true;
-            json.array([&] {
-                const Entry entry = read_entry(json);
-                if (const char* fault = fault_of(entry)) {
-                    if (said.dropped.size() < kMostDropped)
-                        said.dropped[{entry.id.substr(0, kLongestId)}] = fault;
-                    return;
-                }
-                ListedServer& server = servers[{entry.id}];
-                server = {{entry.id},
-                          {place_of(names_.zones, entry.zone)},
-                          {place_of(names_.kinds, entry.kind)},
-                          {static_cast<int>(entry.cell)},
-                          *phase_of(entry.state),
-                          entry.weight,
-                          std::nullopt};
-                if (entry.started_ms > 0)
-                    server.last_start = Instant{Span{std::llround(entry.started_ms * 10)}};
-                said.addresses[server.server] = entry.address;
-            });
+            json.array([&json] { json.object([](const std::string&) { throw JsonFault{}; }); });
         } else {
             json.skip();
         }
     });
     json.end();
-    if (!has_version || !has_servers) return std::nullopt;
+    if (!has_version || !has_servers) throw JsonFault{};
     said.list.form = full ? event::List::Form::complete : event::List::Form::changes;
-    for (auto& [id, server] : servers) said.list.servers.push_back(std::move(server));
-    return said;
+}
+
+std::string_view without_blanks_behind(std::string_view text) {
+    const std::size_t last = text.find_last_not_of(" \t\r\n");
+    return text.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
+constexpr int kInList = 1, kInServers = 2;  // brackets that are open there
+
+}  // namespace
+
+// Whether the `[` that comes now, in the list's object, opens the array of its servers.
+bool ListFeed::opens_servers() const {
+    std::string_view before = without_blanks_behind(frame_);
+    if (!before.ends_with(':')) return false;
+    before = without_blanks_behind(before.substr(0, before.size() - 1));
+    constexpr std::string_view kKey = "\"servers\"";
+    if (!before.ends_with(kKey)) return false;
+    before = without_blanks_behind(before.substr(0, before.size() - kKey.size()));
+    return before.ends_with('{') || before.ends_with(',');
+}
+
+void ListFeed::track(char c) {
+    if (in_string_) {
+        if (c == '"' && !escaped_) in_string_ = false;
+        escaped_ = c == '\\' && !escaped_;
+        return;
+    }
+    if (c == '"') in_string_ = true;
+    if (c == '{' || c == '[') ++depth_;
+    if (c == '}' || c == ']') --depth_;
+}
+
+bool ListFeed::add(char c) {
+    ++size_;
+    if (c == '[' && depth_ == kInList && !in_string_) in_servers_ = opens_servers();
+    const int before = depth_;
+    track(c);
+    if (in_servers_ && std::max(before, depth_) > kInServers) {
+        entry_ += c;
+        return depth_ > kInServers || take_entry();
+    }
+    frame_ += c;
+    if (depth_ <= kInList) in_servers_ = false;
+    return true;
+}
+
+bool ListFeed::take_entry() try {
+    size_ += kLeastEntry - std::min(kLeastEntry, entry_.size());
+    JsonCursor json(entry_);
+    const Entry entry = read_entry(json);
+    json.end();
+    entry_.clear();
+    frame_ += "{}";
+    if (const char* fault = fault_of(entry)) {
+        if (said_.dropped.size() < kMostDropped) said_.dropped[{entry.id.substr(0, kLongestId)}] = fault;
+        return true;
+    }
+    ListedServer& server = said_.list.servers.emplace_back();
+    server.server = {entry.id};
+    server.zone = {place_of(names_.zones, entry.zone)};
+    server.kind = {place_of(names_.kinds, entry.kind)};
+    server.cell = {static_cast<int>(entry.cell)};
+    server.phase = *phase_of(entry.state);
+    server.size = entry.weight;
+    if (entry.started_ms > 0) server.last_start = Instant{Span{std::llround(entry.started_ms * 10)}};
+    said_.addresses[server.server] = entry.address;
+    return true;
+} catch (const JsonFault&) { return false; }
+
+std::optional<ListSaid> ListFeed::take_list() try {
+    if (!entry_.empty()) return std::nullopt;
+    read_frame(frame_, said_);
+    keep_last_of_each(said_.list.servers);
+    return std::move(said_);
 } catch (const JsonFault&) { return std::nullopt; }
 
+void ListFeed::start_over() {
+    frame_ = {}, entry_ = {}, said_ = {};
+    size_ = 0, depth_ = 0;
+    in_string_ = escaped_ = in_servers_ = false;
+}
+
+std::optional<ListSaid> ListReader::read(std::string_view json) {
+    ListFeed feed(names_, ListFraming::document, std::numeric_limits<std::size_t>::max());
+    std::optional<ListSaid> said;
+    int lists = 0;
+    const auto take = [&](std::optional<ListSaid> read) {
+        if (!read) return;
+        said = std::move(read), ++lists;
+    };
+    if (feed.feed(json, take) != ListFault::none || feed.finish(take) != ListFault::none) return std::nullopt;
+    return lists == 1 ? std::move(said) : std::nullopt;
+}
+
 }  // namespace micaroad::protocol
--- a/src/protocol/server_list.hpp
+++ b/src/protocol/server_list.hpp
@@ -1,6 +1,8 @@
-// Discovery's list: one JSON object to one list of the module, and the version that is held of it.
+// Discovery's list: one JSON object to one list of the module, and the version that is held of it. Lists are
+// large, so none is held as text.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,40 +23,84 @@
     std::map<ServerId, std::string> dropped;    // entries that can't be used: why
 };
 
-// Instants count from the Unix epoch. Names that the deployment did not tell are added to `names`.
-class ListReader {
+// How a body is parted into objects.
+enum class ListFraming {
+    line,      // one object a line, as on a watch
+    document,  // an object may go on over several lines, as in the answer to a fetch
+};
+
+enum class ListFault { none, unreadable, too_long };
+
+// Lists out of bytes in any pieces, an entry at a time: the text of one entry is held, never that of a list.
+// Names that the deployment did not tell are added to `names`, which outlives this; instants count from the
+// Unix epoch.
+class ListFeed {
  public:
-    explicit ListReader(Names names) : names_(std::move(names)) {}
-    std::optional<ListSaid> read(std::string_view json);  // absent: can't be read
+    // What an entry counts at least against the bound, in bytes: what is kept of it takes room, however short
+    // its text.
+    static constexpr std::size_t kLeastEntry = 128;
+
+    // An object may have `most_bytes`, counted as its text comes; short entries count kLeastEntry.
+    ListFeed(Names& names, ListFraming framing, std::size_t most_bytes)
+        : names_(names), framing_(framing), most_bytes_(most_bytes) {}
+
+    // Calls take(std::optional<ListSaid>) for each object, and without a list for an empty line. After a
+    // fault the body can't be read any further.
+    template <class Take>
+    ListFault feed(std::string_view bytes, Take take) {
+        for (const char c : bytes) {
+            if (c == '\n' && (framing_ == ListFraming::line || depth_ <= 0)) {
+                if (!end_object(take)) return ListFault::unreadable;
+            } else if (!add(c)) {
+                return ListFault::unreadable;
+            }
+            if (size_ > most_bytes_) return ListFault::too_long;
+        }
+        return ListFault::none;
+    }
+    // The body has ended, and with it the object that has come last, if its line has not.
+    template <class Take>
+    ListFault finish(Take take) {
+        return size_ == 0 || end_object(take) ? ListFault::none : ListFault::unreadable;
+    }
+    std::size_t size() const { return size_; }  // of the object that is under way, as it counts
 
  private:
-    Names names_;
+    template <class Take>
+    bool end_object(Take take) {
+        const bool blank = frame_.find_first_not_of(" \t\r") == std::string::npos && entry_.empty();
+        std::optional<ListSaid> said = blank ? std::nullopt : take_list();
+        const bool readable = blank || said;
+        start_over();
+        if (readable) take(std::move(said));
+        return readable;
+    }
+    bool add(char c);
+    void track(char c);
+    bool opens_servers() const;
+    bool take_entry();
+    std::optional<ListSaid> take_list();  // absent: what has come is no list
+    void start_over();
+
+    Names& names_;
+    const ListFraming framing_;
+    const std::size_t most_bytes_;
+    std::string frame_;  // the object without its entries: `{}` stands for each
+    std::string entry_;  // the one that is under way
+    std::size_t size_ = 0;
+    int depth_ = 0;  // brackets that are open
+    bool in_string_ = false, escaped_ = false, in_servers_ = false;
+    ListSaid said_;
 };
 
-// The lines of a watch's body, bounded.
-class ObjectLines {
+// A list that is held whole, as in a start file. Several share their names.
+class ListReader {
  public:
-    static constexpr std::size_t kLongest = 4 * 1024 * 1024;
-
-    // Calls line(std::string_view) for each, empty ones too. False once a line is too long.
-    template <class Line>
-    bool feed(std::string_view bytes, Line line) {
-        while (!bytes.empty()) {
-            const std::size_t end = bytes.find('\n');
-            if (held_.size() + std::min(end, bytes.size()) > kLongest) return false;
-            held_.append(bytes.substr(0, end));
-            if (end == std::string_view::npos) break;
-            bytes.remove_prefix(end + 1);
-            if (held_.ends_with('\r')) held_.pop_back();
-            line(std::string_view(held_));
-            held_.clear();
-        }
-        return true;
-    }
-    std::string rest() { return std::exchange(held_, {}); }
+    explicit ListReader(Names names) : names_(std::move(names)) {}
+    std::optional<ListSaid> read(std::string_view json);  // absent: can't be read
 
  private:
-    std::string held_;
+    Names names_;
 };
 
 }  // namespace micaroad::protocol
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -336,7 +336,7 @@
         patience.first_wait = 1ms, patience.longest_wait = 20ms, patience.between_fetches = 5ms;
     }
     std::unique_ptr<DiscoveryWatch> watch(Discovery& discovery) {
-        return std::make_unique<DiscoveryWatch>("d", discovery.listener.local(), names, 41, pool, inbox, quiet.log,
+        return std::make_unique<DiscoveryWatch>("d", discovery.listener.local(), names, 41, kListBytes, pool, inbox, quiet.log,
                                                 patience, &sync);
     }
     // The next list, past whatever else is said.
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -144,6 +144,7 @@
     ~Pair() { connection->close(), loop.stop(), threads.wait(); }
 };
 
+constexpr std::size_t kListBytes = 16 * 1024 * 1024;  // that a list may have, as at 128 MB
 inline const std::string kHello = "hello sidecar=3 az=a share=2 standing=1\r\n";
 
 // Discovery of our own: gives each connection the next of its answers, then holds it open.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -195,7 +195,7 @@
                          kWatch + chunk(version(46))});
     DiscoveryWatch::Patience patience;
     patience.silence = 150ms, patience.first_wait = 1ms, patience.longest_wait = 2ms;
-    DiscoveryWatch watch("d", discovery.listener.local(), names, 41, pool, inbox, quiet.log, patience);
+    DiscoveryWatch watch("d", discovery.listener.local(), names, 41, kListBytes, pool, inbox, quiet.log, patience);
     discovery.begin();
     REQUIRE(watch.start());
     std::vector<std::int64_t> versions;
@@ -221,7 +221,7 @@
     Discovery old({kWatch + chunk(version(42))}), next_one({kWatch, kWatch + chunk(version(43))}), third({kWatch + chunk("\n")});
     DiscoveryWatch::Patience patience;
     patience.silence = 300ms;
-    DiscoveryWatch watch("old", old.listener.local(), names, 41, pool, inbox, quiet.log, patience);
+    DiscoveryWatch watch("old", old.listener.local(), names, 41, kListBytes, pool, inbox, quiet.log, patience);
     old.begin(), next_one.begin(), third.begin();
     REQUIRE(watch.start());
     CHECK(next<arrival::ListTold>().said.version == 42);
@@ -249,7 +249,7 @@
                          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(test::kList.size()) +
                              "\r\n\r\n" + test::kList,
                          kWatch});
-    DiscoveryWatch watch("d", discovery.listener.local(), names, 41, pool, inbox, quiet.log);
+    DiscoveryWatch watch("d", discovery.listener.local(), names, 41, kListBytes, pool, inbox, quiet.log);
     discovery.begin();
     REQUIRE(watch.start());
     CHECK(next<arrival::ListTold>().said.version == 42);
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -241,13 +241,43 @@
 }
 
 TEST_CASE("the objects of a watch are parted by lines, empty ones too, and bounded") {
-    ObjectLines lines;
-    Lines got;
-    const auto take = [&got](std::string_view line) { got.emplace_back(line); };
-    for (const char c : std::string("{}\n\r\n{\"a\":1}\r\nrest")) REQUIRE(lines.feed({&c, 1}, take));
-    CHECK(got == Lines{"{}", "", "{\"a\":1}"});
-    CHECK(lines.rest() == "rest");
-    CHECK(!lines.feed(std::string(ObjectLines::kLongest + 1, ' '), take));
+    Names names = test::names();
+    std::vector<std::int64_t> versions;
+    const auto take = [&versions](std::optional<ListSaid> said) { versions.push_back(said ? said->version : -1); };
+    const std::string text =
+        "{\"version\":1,\"servers\":[]}\n\r\n{\"version\":2,\"servers\":[]}\r\n{\"version\":3,\"servers\":[]}";
+    ListFeed feed(names, ListFraming::line, 1'024);
+    for (const char c : text) REQUIRE(feed.feed({&c, 1}, take) == ListFault::none);
+    CHECK(versions == std::vector<std::int64_t>{1, -1, 2});
+    CHECK(feed.finish(take) == ListFault::none);
+    CHECK(versions.back() == 3);
+    CHECK(feed.feed(std::string(1'024, ' '), take) == ListFault::none);
+    CHECK(feed.feed(" ", take) == ListFault::too_long);
+    ListFeed cut(names, ListFraming::line, 1'024);
+    CHECK(cut.feed("{\"version\":1,\n\"servers\":[]}", take) == ListFault::unreadable);
+    ListFeed document(names, ListFraming::document, 1'024);
+    CHECK(document.feed("{\"version\":4,\n\"servers\":[]}\n", take) == ListFault::none);
+    CHECK(versions.back() == 4);
+}
+
+TEST_CASE("what looks like the servers and is not is passed over, what hides them is no list") {
+    ListReader reader(test::names());
+    const std::string entry = R"({"id":"x","addr":"h:1","zone":"a","state":"up"})";
+    const auto servers = [&](const std::string& text) -> std::ptrdiff_t {
+        const auto said = reader.read(text);
+        return said ? std::ssize(said->list.servers) : -1;
+    };
+    CHECK(servers(R"({"version":1, "servers" : [ )" + entry + R"( ] })") == 1);
+    CHECK(servers(R"({"version":1,"old":[)" + entry + R"(],"servers":[]})") == 0);
+    CHECK(servers(R"({"version":1,"old":{"servers":[)" + entry + R"(]},"servers":[]})") == 0);
+    CHECK(servers(R"({"version":1,"x\"servers":[)" + entry + R"(],"servers":[]})") == 0);
+    CHECK(servers(R"({"a":"]}\\","version":1,"servers":[)" + entry + R"(],"b":"\"["})") == 1);
+    CHECK(servers(R"({"version":1,"s\u0065rvers":[)" + entry + "]}") == -1);
+    CHECK(servers(R"({"version":1,"servers":[)" + entry + entry + "]}") == -1);
+    CHECK(servers(R"({"version":1,"servers":[[)" + entry + "]]}") == -1);
+    CHECK(servers(R"({"version":1,"servers":[)" + entry + ",]}") == -1);
+    CHECK(servers(R"({"version":1,"servers":[{}]})") == 0);  // an entry that can't be used
+    CHECK(servers("{\"version\":1,\"servers\":[]}\n{\"version\":2,\"servers\":[]}") == -1);
 }
 
 TEST_CASE("a letter is written as one message") {
