--- a/src/planner/program.cpp
+++ b/src/planner/program.cpp
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-Program::Program(StartFile start, Clock clock, Log& log, Witness* witness, SyncPoints* sync)
+Program::Program(StartFile start, Clock clock, Log& log, Witness* witness, SyncPoints* sync,
+                 net::WatchPatience patience)
     : start_(std::move(start)),
       clock_(std::move(clock)),
       log_(log),
@@ -48,7 +49,7 @@
       prober_(reading_, inbox_, clock_, sync),
       watch_(start_.discovery,
              start_.discovery.empty() ? net::Address{} : address_or_throw(start_.discovery, "discovery"),
-             start_.names, start_.known.version, limits_.list_bytes, reading_, inbox_, log_, {}, sync),
+             start_.names, start_.known.version, limits_.list_bytes, reading_, inbox_, log_, patience, sync),
       core_(start_.terms, start_.names, start_.seed, *this, log_, witness),
       sync_(sync) {}
 
--- a/src/planner/program.hpp
+++ b/src/planner/program.hpp
@@ -19,7 +19,8 @@
 
 class Program : private Outlet {
  public:
-    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr, SyncPoints* sync = nullptr);
+    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr, SyncPoints* sync = nullptr,
+            net::WatchPatience patience = {});
 
     // Serves until stop() is called, by any thread. The program's exit code.
     int run();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,44 +1,19 @@
 // Rare moments on real sockets: a thread is held at a named line (SyncPoints) while something else comes in between. Every
 // crossing is forced, none is hoped for.
-#include <netinet/in.h>
 #include <sys/resource.h>
 
 #include <cstdio>
 #include <fstream>
-#include <future>
 
 #include "net/prober.hpp"
 #include "net_helpers.hpp"
-#include "planner/program.hpp"
+#include "program_helpers.hpp"
 
 using namespace micaroad;
 using namespace micaroad::test;
 
 namespace {
 
-using std::chrono::steady_clock;
-
-std::string hello(int proxy) {
-    return "hello sidecar=" + std::to_string(proxy) + " az=a share=2 standing=1\r\n";
-}
-std::string answer(int proxy, int mark) {
-    return "ack sidecar=" + std::to_string(proxy) + " version=" + std::to_string(mark) + " lag_ms=1\r\n";
-}
-std::string usage(int proxy) {
-    return "demand sidecar=" + std::to_string(proxy) + " kind=lookup n=4 bad=0 window=500\r\n";
-}
-
-// Has a connection end in a reset, whatever it has left unread or unsent.
-void reset(Socket socket) {
-    const linger at_once{1, 0};
-    ::setsockopt(socket.fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-}
-
-bool alive(const Socket& socket) {
-    socket.send_all("probe\r\n");
-    return read_some(socket, 7) == "alive\r\n";
-}
-
 // What ends an orderly connection: 0. A reset: -1.
 ssize_t last_of(const Socket& socket) {
     char bytes[4096];
@@ -79,11 +54,6 @@
     ~Two() { loop.stop(), threads.wait(); }
 };
 
-template <class Work>
-auto beside(Work work) {
-    return std::async(std::launch::async, std::move(work));
-}
-
 }  // namespace
 
 // ---- connections: dates, ends and shutdowns between two lines
@@ -542,68 +512,6 @@
 
 // ---- the whole program
 
-namespace {
-
-StartFile start_file(const std::string& discovery) {
-    StartFile start;
-    start.name = "n1", start.listen = "127.0.0.1:0", start.discovery = discovery;
-    start.sockets = 1024, start.memory_mb = 192, start.bounds = {8}, start.terms = terms(), start.names = names();
-    start.known = *protocol::ListReader(start.names).read(kList);
-    return start;
-}
-
-struct Heard : Witness {
-    std::mutex mutex;
-    std::vector<std::string> events;
-    void heard(const Event& event) override {
-        const std::lock_guard lock(mutex);
-        if (std::holds_alternative<event::ProxyJoined>(event)) events.push_back("joined");
-        if (std::holds_alternative<event::ProxyLeft>(event)) events.push_back("left");
-        if (std::holds_alternative<event::MarkApplied>(event)) events.push_back("answered");
-    }
-    void decided(Instant, const std::vector<Order>&) override {}
-    std::vector<std::string> all() {
-        const std::lock_guard lock(mutex);
-        return events;
-    }
-};
-
-struct Running {
-    Quiet quiet;
-    Holder sync;
-    Heard heard;
-    Program program;
-    std::future<int> code;
-    explicit Running(const std::string& discovery = "")
-        : program(start_file(discovery), clock_now(), quiet.log, &heard, &sync),
-          code(beside([this] { return program.run(); })) {
-        while (program.stage() != Stage::serving && program.stage() != Stage::failed) std::this_thread::yield();
-        REQUIRE(program.stage() == Stage::serving);
-    }
-    ~Running() { program.stop(), code.wait(); }
-    // How long it takes to its end from the word on.
-    std::chrono::milliseconds stop() {
-        const auto begun = steady_clock::now();
-        program.stop();
-        CHECK(code.get() == 0);
-        code = beside([] { return 0; });
-        return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
-    }
-};
-
-// Reads orders until a mark comes that is to be answered: that mark.
-int read_mark(const Socket& proxy) {
-    std::string text;
-    proxy.wait_at_most(10s);
-    for (char c; proxy.receive(&c, 1) == 1;) {
-        text += c;
-        if (const auto at = text.find("nonce_out="); c == '\n' && at != std::string::npos) return std::stoi(text.substr(at + 10));
-    }
-    return -1;
-}
-
-}  // namespace
-
 TEST_CASE("the program is gone well before it is killed, whatever hangs, floods and dials") {
     Discovery mute({"", ""});
     mute.begin();
