Layering: the program that assembles the parts stands above them, in src/daemon

Cause: planner/program included net/, while net/ includes planner/: the one arrow back up.

`build/micaroad` and `run` stay as they are.

--- a/src/command/serve.hpp
+++ b/src/command/serve.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
+#include "daemon/program.hpp"
 #include "net/health_prober.hpp"
-#include "planner/program.hpp"
 #include "routing/plan.hpp"
 
 namespace micaroad::command {
--- a/src/planner/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,7 +11,7 @@
 #include <filesystem>
 #include <thread>
 
-#include "planner/program.hpp"
+#include "daemon/program.hpp"
 
 namespace {
 
--- a/src/planner/program.cpp
+++ b/src/daemon/program.cpp
@@ -1,4 +1,4 @@
-#include "planner/program.hpp"
+#include "daemon/program.hpp"
 
 #include <algorithm>
 
--- a/src/planner/program.hpp
+++ b/src/daemon/program.hpp
@@ -3,13 +3,13 @@
 
 #include <atomic>
 
+#include "daemon/limits.hpp"
+#include "daemon/start_file.hpp"
 #include "log/log.hpp"
 #include "net/acceptor.hpp"
 #include "net/discovery_watch.hpp"
 #include "net/prober.hpp"
 #include "planner/core.hpp"
-#include "planner/limits.hpp"
-#include "planner/start_file.hpp"
 
 namespace micaroad {
 
--- a/src/planner/start_file.cpp
+++ b/src/daemon/start_file.cpp
@@ -1,4 +1,4 @@
-#include "planner/start_file.hpp"
+#include "daemon/start_file.hpp"
 
 #include <algorithm>
 #include <fstream>
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,6 +1,6 @@
 // The core without sockets: streams that replace each other, lists, probes, timers, and the start file.
 #include "planner/core.hpp"
-#include "planner/limits.hpp"
+#include "daemon/limits.hpp"
 
 #include <malloc.h>
 
@@ -8,7 +8,7 @@
 #include <future>
 
 #include "helpers.hpp"
-#include "planner/start_file.hpp"
+#include "daemon/start_file.hpp"
 
 using namespace micaroad;
 
--- a/tests/large_list_test.cpp
+++ b/tests/large_list_test.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "net_helpers.hpp"
-#include "planner/limits.hpp"
+#include "daemon/limits.hpp"
 #include "protocol/server_list.hpp"
 
 using namespace micaroad;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -17,7 +17,7 @@
 #include "net/discovery_watch.hpp"
 #include "net/acceptor.hpp"
 #include "net/prober.hpp"
-#include "planner/program.hpp"
+#include "daemon/program.hpp"
 
 using namespace micaroad;
 using namespace micaroad::net;
--- a/tests/program_helpers.hpp
+++ b/tests/program_helpers.hpp
@@ -6,7 +6,7 @@
 #include <future>
 
 #include "net_helpers.hpp"
-#include "planner/program.hpp"
+#include "daemon/program.hpp"
 
 namespace micaroad::test {
 
