--- a/src/planner/program.hpp
+++ b/src/daemon/program.hpp
@@ -3,13 +3,13 @@
 
 #include <atomic>
 
+#include "daemon/limits.hpp"
+#include "daemon/start_file.hpp"
 #include "log/log.hpp"
 #include "net/acceptor.hpp"
 #include "net/discovery_watch.hpp"
 #include "net/prober.hpp"
 #include "planner/core.hpp"
-#include "planner/limits.hpp"
-#include "planner/start_file.hpp"
 
 namespace micaroad {
 
@@ -19,7 +19,8 @@
 
 class Program : private Outlet {
  public:
-    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr, SyncPoints* sync = nullptr);
+    Program(StartFile start, Clock clock, Log& log, Witness* witness = nullptr, SyncPoints* sync = nullptr,
+            net::WatchPatience patience = {});
 
     // Serves until stop() is called, by any thread. The program's exit code.
     int run();
