Scale run on sockets: real planners beside hollow ones, by sizes and events

Change: bench/scale/wire_*, a development tool. It starts real micaroad processes on loopback addresses of its own, hollow planners in processes beside them (they keep the wire's state and write at the pace the real ones are measured at), and stand-ins for discovery, collectors and proxies on one epoll loop. run_wire() plays sizes one after the other and writes one JSON object: processor time, proportional memory, bytes and messages by role, and the time from a change told until it is in force at each proxy; then a burst, a rack, a zone, all streams dialled at once, and discovery restarted. A hollow planner's rates are held against a real one's in the same run.

--- /dev/null
+++ b/bench/scale/wire_point.cpp
@@ -0,0 +1,346 @@
+#include "wire_point.hpp"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "wire_deployment.hpp"
+
+namespace micaroad::scale::wire {
+namespace {
+
+constexpr Milliseconds kDiscoveryDown{3'000};
+constexpr int kChangesWhileDown = 20;
+constexpr Milliseconds kInFlight{3'000};  // until what was written has been read
+
+// All that is counted and only grows.
+struct Snapshot {
+    Instant when;
+    std::vector<TrafficByRole> traffic;
+    std::vector<ProcessUsage> real, hollow;
+    ProcessUsage stand_ins;
+    std::array<std::chrono::nanoseconds, kRoles> roles{};
+};
+
+std::vector<ProcessUsage> usages_of(const std::vector<pid_t>& ids) {
+    std::vector<ProcessUsage> usages;
+    for (const pid_t id : ids) usages.push_back(usage_of(id).value_or(ProcessUsage{}));
+    return usages;
+}
+
+Snapshot snapshot_of(const Deployment& deployment) {
+    Snapshot snapshot;
+    snapshot.when = Clock::now();
+    snapshot.traffic = deployment.traffic();
+    snapshot.real = usages_of(deployment.real_processes());
+    snapshot.hollow = usages_of(deployment.hollow_processes());
+    snapshot.stand_ins = usage_of(getpid()).value_or(ProcessUsage{});
+    for (std::size_t role = 0; role < kRoles; ++role) {
+        snapshot.roles[role] = deployment.loop().processor_time(static_cast<Role>(role));
+    }
+    return snapshot;
+}
+
+double seconds_between(const Snapshot& before, const Snapshot& after) {
+    return std::chrono::duration<double>(after.when - before.when).count();
+}
+
+void add_usage(PlannerFigures& figures, const std::vector<ProcessUsage>& before,
+               const std::vector<ProcessUsage>& after, double seconds) {
+    figures.processes = static_cast<int>(after.size());
+    for (std::size_t i = 0; i < after.size(); ++i) {
+        const double share = (after[i].processor_seconds - before[i].processor_seconds) / seconds;
+        const auto bytes = static_cast<double>(after[i].proportional_bytes);
+        figures.share_mean += share / static_cast<double>(after.size());
+        figures.bytes_mean += bytes / static_cast<double>(after.size());
+        figures.share_most = std::max(figures.share_most, share);
+        figures.bytes_most = std::max(figures.bytes_most, bytes);
+    }
+}
+
+// Of planners numbered from `first` on.
+void add_traffic(PlannerFigures& figures, const Snapshot& before, const Snapshot& after, std::size_t first,
+                 int planners) {
+    const double seconds = seconds_between(before, after);
+    TrafficByRole sums{};
+    for (std::size_t planner = first; planner < first + static_cast<std::size_t>(planners); ++planner) {
+        for (std::size_t role = 0; role < kRoles; ++role) {
+            sums[role] += after.traffic[planner][role] - before.traffic[planner][role];
+        }
+    }
+    figures.planners = planners;
+    figures.all = rates_of(sum_of(sums), seconds, planners);
+    for (std::size_t role = 0; role < kRoles; ++role) {
+        figures.by_role[role] = rates_of(sums[role], seconds, planners);
+    }
+}
+
+Comparison compare(std::string figure, double real, double hollow, double bound) {
+    const double difference = real == hollow ? 0 : std::abs(hollow - real) / std::max(real, 1e-9);
+    return {std::move(figure), real, hollow, difference, difference <= bound};
+}
+
+void compare_rates(std::vector<Comparison>& comparisons, const std::string& who, const TrafficRates& real,
+                   const TrafficRates& hollow, double bound) {
+    comparisons.push_back(compare(who + " bytes in", real.bytes_in, hollow.bytes_in, bound));
+    comparisons.push_back(compare(who + " bytes out", real.bytes_out, hollow.bytes_out, bound));
+    comparisons.push_back(compare(who + " messages in", real.messages_in, hollow.messages_in, bound));
+    comparisons.push_back(compare(who + " messages out", real.messages_out, hollow.messages_out, bound));
+}
+
+class Player {
+ public:
+    Player(const WireOptions& options, const std::string& varied, const WireWorld& sizes)
+        : options_(options), deployment_(options, sizes) {
+        point_.varied = varied;
+        point_.world = sizes;
+        point_.start_seconds = deployment_.start_seconds();
+    }
+
+    PointResult play(const std::vector<WireEvent>& events) {
+        play_window();
+        check_counts("after the window");
+        for (const WireEvent event : events) point_.events.push_back(play_event(event));
+        if (!events.empty()) check_counts("after the events");
+        check_events();
+        point_.broken_streams = deployment_.proxies().broken();
+        point_.unreadable_messages = deployment_.proxies().unreadable();
+        point_.dropped_reports = deployment_.collectors().dropped();
+        add_check("no stream broken, no message unreadable",
+                  point_.broken_streams + point_.unreadable_messages == 0,
+                  fmt::format("{} broken, {} unreadable", point_.broken_streams, point_.unreadable_messages));
+        return point_;
+    }
+
+ private:
+    void play_window() {
+        deployment_.pause_changes(false);
+        deployment_.run_for(options_.settle);
+        deployment_.in_force().take();
+        const std::int64_t told = deployment_.told();
+        const Edge before = next_edge();
+        deployment_.run_for(options_.window);
+        const Edge after = next_edge();
+        deployment_.pause_changes(true);
+        note_figures(before, after);
+        point_.changes = await_in_force(told);
+        add_check("each change in force at each proxy", point_.changes.not_in_force == 0,
+                  fmt::format("{} told, {} in force, {} not", point_.changes.told,
+                              point_.changes.in_force.samples, point_.changes.not_in_force));
+        if (point_.world.changes_per_second > 0)
+            add_check("some change was told and came in force", point_.changes.in_force.samples > 0,
+                      fmt::format("{} samples", point_.changes.in_force.samples));
+    }
+
+    // A hollow planner writes what real ones wrote a pace before: its window begins and ends that much later.
+    struct Edge {
+        Snapshot real, hollow;
+    };
+    Edge next_edge() {
+        Edge edge;
+        deployment_.run_to_next_pace();
+        edge.real = snapshot_of(deployment_);
+        deployment_.run_for(Deployment::kPaceEvery / 2);
+        edge.hollow = snapshot_of(deployment_);
+        return edge;
+    }
+
+    void note_figures(const Edge& before, const Edge& after) {
+        const WireWorld& sizes = point_.world;
+        point_.window_seconds = seconds_between(before.real, after.real);
+        add_usage(point_.real, before.real.real, after.real.real, point_.window_seconds);
+        add_traffic(point_.real, before.real, after.real, 0, sizes.real_planners);
+        add_usage(point_.hollow, before.hollow.hollow, after.hollow.hollow,
+                  seconds_between(before.hollow, after.hollow));
+        add_traffic(point_.hollow, before.hollow, after.hollow, static_cast<std::size_t>(sizes.real_planners),
+                    sizes.hollow_planners);
+        note_stand_ins(before.real, after.real);
+        for (int planner = 0; planner < sizes.real_planners; ++planner) {
+            point_.mean_table += deployment_.proxies().mean_table(planner) / sizes.real_planners;
+        }
+        if (sizes.hollow_planners > 0) compare_hollow();
+    }
+
+    void note_stand_ins(const Snapshot& before, const Snapshot& after) {
+        const int planners = point_.world.planners();
+        const std::pair<Role, int> stand_ins[] = {{Role::discovery, planners},
+                                                  {Role::collector, planners * point_.world.zones},
+                                                  {Role::proxy, planners * point_.world.proxies}};
+        for (const auto& [role, number] : stand_ins) {
+            const auto at = static_cast<std::size_t>(role);
+            const std::chrono::duration<double> spent = after.roles[at] - before.roles[at];
+            point_.stand_ins.push_back({role, number, spent.count() / point_.window_seconds});
+        }
+        const double spent = after.stand_ins.processor_seconds - before.stand_ins.processor_seconds;
+        point_.stand_ins_share = spent / point_.window_seconds;
+        point_.stand_ins_bytes = after.stand_ins.proportional_bytes;
+    }
+
+    void compare_hollow() {
+        const auto proxy = static_cast<std::size_t>(Role::proxy);
+        const double bound = options_.hollow_bound;
+        compare_rates(point_.comparisons, "all", point_.real.all, point_.hollow.all, bound);
+        compare_rates(point_.comparisons, "proxies", point_.real.by_role[proxy], point_.hollow.by_role[proxy],
+                      bound);
+        double most = 0;
+        for (const Comparison& comparison : point_.comparisons) most = std::max(most, comparison.difference);
+        add_check("a hollow planner's traffic is a real one's", most <= bound,
+                  fmt::format("largest difference {:.3f}, bound {:.3f}", most, bound));
+    }
+
+    // Since `told` was counted.
+    ChangeFigures await_in_force(std::int64_t told) {
+        deployment_.run([this] { return deployment_.in_force().pending() == 0; }, options_.event_limit);
+        ChangeFigures figures;
+        figures.told = deployment_.told() - told;
+        figures.not_in_force = deployment_.in_force().pending();
+        const InForce::Result result = deployment_.in_force().take();
+        figures.in_force = delays_of(result.milliseconds);
+        figures.not_holding = result.not_holding;
+        figures.overtaken = result.overtaken;
+        return figures;
+    }
+
+    EventFigures play_event(WireEvent event) {
+        EventFigures figures;
+        figures.event = event;
+        const std::int64_t told = deployment_.told();
+        const Snapshot before = snapshot_of(deployment_);
+        const std::vector<std::size_t> lost = begin(event);
+        figures.servers = static_cast<std::int64_t>(lost.size());
+        if (event == WireEvent::dial) await_first_messages(figures);
+        figures.changes = await_in_force(told);
+        const Snapshot after = snapshot_of(deployment_);
+        figures.seconds = seconds_between(before, after);
+        PlannerFigures real;
+        add_usage(real, before.real, after.real, figures.seconds);
+        add_traffic(real, before, after, 0, point_.world.real_planners);
+        figures.planner_share_mean = real.share_mean;
+        figures.planner_traffic = real.all;
+        figures.passed = figures.changes.not_in_force == 0 && figures.first_messages_missing == 0;
+        const bool back = event == WireEvent::rack || event == WireEvent::zone;
+        if (back) bring_back(lost);
+        return figures;
+    }
+
+    std::vector<std::size_t> begin(WireEvent event) {
+        std::vector<std::size_t> lost;
+        switch (event) {
+            case WireEvent::burst:
+                lost = deployment_.world().replace_some(options_.burst);
+                break;
+            case WireEvent::rack:
+                lost = deployment_.world().lose_rack();
+                break;
+            case WireEvent::zone:
+                lost = deployment_.world().lose_zone();
+                break;
+            case WireEvent::dial:
+                deployment_.proxies().redial(0);
+                return lost;
+            case WireEvent::discovery:
+                return restart_discovery();
+        }
+        deployment_.publish();
+        return lost;
+    }
+
+    // Servers drain while discovery is down: planners are told when they have found it again.
+    std::vector<std::size_t> restart_discovery() {
+        deployment_.discovery().shut();
+        const int changes = std::min(kChangesWhileDown, point_.world.servers / 4);
+        const std::vector<std::size_t> lost = deployment_.world().replace_some(changes);
+        deployment_.run_for(kDiscoveryDown);
+        deployment_.discovery().open();
+        const auto all_watch = [this] {
+            return deployment_.discovery().watches() == static_cast<std::size_t>(point_.world.planners());
+        };
+        deployment_.run(all_watch, options_.event_limit);
+        return lost;
+    }
+
+    void await_first_messages(EventFigures& figures) {
+        const auto all_ordered = [this] { return deployment_.proxies().ordered(0) == point_.world.proxies; };
+        deployment_.run(all_ordered, options_.event_limit);
+        figures.first_message = delays_of(deployment_.proxies().first_message_times(0));
+        figures.first_messages_missing = point_.world.proxies - figures.first_message->samples;
+    }
+
+    void bring_back(const std::vector<std::size_t>& servers) {
+        deployment_.world().bring_back(servers);
+        deployment_.publish();
+        deployment_.run_for(options_.settle);
+    }
+
+    void check_counts(const std::string& when) {
+        const WireWorld& sizes = point_.world;
+        int joined = 0;
+        for (int planner = 0; planner < sizes.planners(); ++planner) {
+            joined += deployment_.proxies().joined(planner);
+        }
+        const int proxies = sizes.planners() * sizes.proxies;
+        add_check("each proxy joined, " + when, joined == proxies, fmt::format("{} of {}", joined, proxies));
+        if (sizes.hollow_planners > 0) check_hollow(when);
+    }
+
+    // What was written to hollow planners, and by them, may be on its way: it is waited for.
+    void check_hollow(const std::string& when) {
+        deployment_.run([this] { return hollow_agrees(); }, kInFlight);
+        const HollowStatus status = deployment_.hollow_status();
+        add_check(
+            "hollow planners agree with the stand-ins, " + when, hollow_agrees(),
+            fmt::format("{} streams, {} messages written and {} read, {} servers of {}, version {} of {}",
+                        status.streams, status.messages_written, messages_of_hollow(), status.listed,
+                        listed(), status.version, deployment_.world().version()));
+    }
+
+    bool hollow_agrees() {
+        const HollowStatus status = deployment_.hollow_status();
+        return status.streams == std::int64_t{point_.world.hollow_planners} * point_.world.proxies &&
+               status.messages_written == messages_of_hollow() && status.nonces_open == 0 &&
+               status.listed == listed() && status.version == deployment_.world().version();
+    }
+
+    std::int64_t messages_of_hollow() const {
+        std::int64_t messages = 0;
+        for (std::size_t planner = 0; planner < deployment_.traffic().size(); ++planner) {
+            TrafficByRole traffic = deployment_.traffic()[planner];
+            if (!deployment_.real(planner)) messages += of(traffic, Role::proxy).messages_out;
+        }
+        return messages;
+    }
+
+    std::int64_t listed() {
+        const auto& servers = deployment_.world().servers();
+        return std::count_if(servers.begin(), servers.end(),
+                             [](const Server& server) { return server.state != ServerState::removed; });
+    }
+
+    void check_events() {
+        for (const EventFigures& event : point_.events) {
+            add_check(fmt::format("event {}", name_of(event.event)), event.passed,
+                      fmt::format("{} servers, {} in force, {} not, {} first messages missing", event.servers,
+                                  event.changes.in_force.samples, event.changes.not_in_force,
+                                  event.first_messages_missing));
+        }
+    }
+
+    void add_check(std::string name, bool passed, std::string seen) {
+        point_.checks.push_back({std::move(name), passed, std::move(seen)});
+    }
+
+    const WireOptions& options_;
+    Deployment deployment_;
+    PointResult point_;
+};
+
+}  // namespace
+
+PointResult play_point(const WireOptions& options, const std::string& varied, const WireWorld& sizes,
+                       const std::vector<WireEvent>& events) {
+    return Player(options, varied, sizes).play(events);
+}
+
+}  // namespace micaroad::scale::wire
--- /dev/null
+++ b/bench/scale/wire_proxies.cpp
@@ -0,0 +1,223 @@
+#include "wire_proxies.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace micaroad::scale::wire {
+namespace {
+
+constexpr Milliseconds kFirstRedial{100}, kLongestRedial{1'000};
+constexpr double kAnswerLagMs = 1.0;
+constexpr std::string_view kNonceWord = " nonce_out=";
+constexpr std::string_view kContinuedWord = " continued=1";
+
+// The part of a line that is read for a proxy whose table nobody follows.
+std::optional<PushPart> read_frame(std::string_view line) {
+    if (!line.starts_with("push")) return std::nullopt;
+    PushPart part;
+    part.continued = line.find(kContinuedWord) != std::string_view::npos;
+    const std::size_t nonce = line.find(kNonceWord);
+    if (nonce == std::string_view::npos) return part;
+    const char* const begin = line.data() + nonce + kNonceWord.size();
+    int value = 0;
+    if (std::from_chars(begin, line.data() + line.size(), value).ec != std::errc{}) return std::nullopt;
+    part.nonce = value;
+    return part;
+}
+
+}  // namespace
+
+class ProxyFleet::Proxy : public ChannelOwner {
+ public:
+    Proxy(ProxyFleet& fleet, const ProxyIdentity& identity, bool followed)
+        : fleet_(fleet), identity_(identity), followed_(followed) {}
+
+    const ProxyIdentity& identity() const { return identity_; }
+    bool joined() const { return channel_ != nullptr && channel_->open(); }
+    bool ordered() const { return joined() && first_message_ > dialled_; }
+    double first_message_ms() const {
+        return std::chrono::duration<double, std::milli>(first_message_ - dialled_).count();
+    }
+    const ProxyTable& table() const { return table_; }
+
+    void dial() {
+        drop(fleet_.loop_, channel_);
+        parts_.clear();
+        lines_.clear();
+        dialled_ = Clock::now();
+        Descriptor socket = begin_connect(fleet_.planners_[static_cast<std::size_t>(identity_.planner)]);
+        if (!socket.open()) return dial_later();
+        channel_ = std::make_unique<Channel>(fleet_.loop_, Role::proxy, std::move(socket), true, *this);
+    }
+
+    void report() {
+        if (!joined()) return;
+        say(fleet_.world_.demand(identity_), fleet_.world_.sizes().methods);
+    }
+
+ private:
+    void connected() override {
+        wait_ = kFirstRedial;
+        say(fmt::format("hello sidecar={} az={} share={:.1f} standing={}\r\n", identity_.number,
+                        World::zone_name(identity_.zone), identity_.requests_per_second,
+                        ever_ordered_ ? 0 : 1),
+            1);
+    }
+
+    void received(std::string_view bytes) override {
+        traffic().bytes_out += static_cast<std::int64_t>(bytes.size());
+        lines_.feed(bytes, [this](std::string_view line) { take(line); });
+    }
+
+    void ended() override {
+        ++fleet_.broken_;
+        dial_later();
+    }
+
+    void take(std::string_view line) {
+        if (!joined()) return;  // the stream was reset by a line before
+        auto part = followed_ ? read_push(line, fleet_.world_) : read_frame(line);
+        if (!part) {
+            ++fleet_.unreadable_;
+            channel_->close();
+            return dial_later();
+        }
+        const bool whole = !part->continued;
+        parts_.push_back(std::move(*part));
+        if (whole) apply();
+    }
+
+    void apply() {
+        const Instant now = Clock::now();
+        if (first_message_ <= dialled_) first_message_ = now;
+        ever_ordered_ = true;
+        ++traffic().messages_out;
+        for (const PushPart& part : parts_) {
+            if (followed_) table_.apply(part);
+            if (part.nonce) answer(*part.nonce);
+        }
+        parts_.clear();
+        if (followed_) note_in_force(now);
+    }
+
+    void answer(int nonce) {
+        ++traffic().nonces_out;
+        say(fmt::format("ack sidecar={} version={} lag_ms={:.1f}\r\n", identity_.number, nonce, kAnswerLagMs),
+            1);
+    }
+
+    void note_in_force(Instant now) {
+        const auto* awaited = fleet_.in_force_.awaited(identity_.number);
+        if (awaited == nullptr) return;
+        std::vector<std::size_t> closed;
+        for (const auto& [server, told] : *awaited) {
+            if (!table_.in_use(server)) closed.push_back(server);
+        }
+        for (const std::size_t server : closed) fleet_.in_force_.closed(identity_.number, server, now);
+    }
+
+    void say(std::string text, int messages) {
+        traffic().bytes_in += static_cast<std::int64_t>(text.size());
+        traffic().messages_in += messages;
+        channel_->send(std::move(text));
+    }
+
+    void dial_later() {
+        fleet_.loop_.at(Clock::now() + wait_, Role::proxy, [this] {
+            if (!joined()) dial();
+        });
+        wait_ = std::min(2 * wait_, kLongestRedial);
+    }
+
+    Traffic& traffic() {
+        return of(fleet_.traffic_[static_cast<std::size_t>(identity_.planner)], Role::proxy);
+    }
+
+    ProxyFleet& fleet_;
+    const ProxyIdentity& identity_;
+    const bool followed_;
+    std::unique_ptr<Channel> channel_;
+    LineSplitter lines_;
+    std::vector<PushPart> parts_;
+    ProxyTable table_;
+    Instant dialled_{}, first_message_{};
+    bool ever_ordered_ = false;
+    Milliseconds wait_ = kFirstRedial;
+};
+
+ProxyFleet::ProxyFleet(Loop& loop, const World& world, const std::vector<LoopbackAddress>& planners,
+                       int real_planners, std::vector<TrafficByRole>& traffic, InForce& in_force)
+    : loop_(loop), world_(world), planners_(planners), traffic_(traffic), in_force_(in_force) {
+    for (const ProxyIdentity& identity : world.proxies()) {
+        proxies_.push_back(std::make_unique<Proxy>(*this, identity, identity.planner < real_planners));
+    }
+    loop_.every(world.sizes().report_every / kSlots, Role::proxy, [this] {
+        report(next_slot_);
+        next_slot_ = (next_slot_ + 1) % kSlots;
+    });
+}
+
+ProxyFleet::~ProxyFleet() = default;
+
+template <class Task>
+void ProxyFleet::each_of(int planner, const Task& task) const {
+    for (const auto& proxy : proxies_) {
+        if (proxy->identity().planner == planner) task(*proxy);
+    }
+}
+
+void ProxyFleet::dial_all() {
+    for (const auto& proxy : proxies_) proxy->dial();
+}
+
+void ProxyFleet::redial(int planner) {
+    each_of(planner, [](Proxy& proxy) { proxy.dial(); });
+}
+
+void ProxyFleet::report(int slot) {
+    for (std::size_t i = static_cast<std::size_t>(slot); i < proxies_.size(); i += kSlots)
+        proxies_[i]->report();
+}
+
+void ProxyFleet::told(int planner, const std::vector<std::size_t>& ended, Instant now) {
+    each_of(planner, [&](const Proxy& proxy) {
+        for (const std::size_t server : ended) {
+            in_force_.told(proxy.identity().number, server, now, proxy.table().in_use(server));
+        }
+    });
+}
+
+std::vector<double> ProxyFleet::first_message_times(int planner) const {
+    std::vector<double> times;
+    each_of(planner, [&times](const Proxy& proxy) {
+        if (proxy.ordered()) times.push_back(proxy.first_message_ms());
+    });
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+int ProxyFleet::joined(int planner) const {
+    int number = 0;
+    each_of(planner, [&number](const Proxy& proxy) { number += proxy.joined() ? 1 : 0; });
+    return number;
+}
+
+int ProxyFleet::ordered(int planner) const {
+    int number = 0;
+    each_of(planner, [&number](const Proxy& proxy) { number += proxy.ordered() ? 1 : 0; });
+    return number;
+}
+
+double ProxyFleet::mean_table(int planner) const {
+    double sum = 0;
+    int number = 0;
+    each_of(planner, [&](const Proxy& proxy) {
+        sum += static_cast<double>(proxy.table().servers_in_use());
+        ++number;
+    });
+    return number > 0 ? sum / number : 0;
+}
+
+}  // namespace micaroad::scale::wire
--- /dev/null
+++ b/bench/scale/wire_run.cpp
@@ -0,0 +1,194 @@
+#include "wire_run.hpp"
+
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <system_error>
+
+#include "wire_deployment.hpp"
+#include "wire_point.hpp"
+
+namespace micaroad::scale {
+namespace wire {
+namespace {
+
+using nlohmann::json;
+
+constexpr double kMebibyte = 1024.0 * 1024.0;
+// What a size is taken to need at most before it is played, in bytes.
+constexpr double kOfPlanner = 24 * kMebibyte, kOfPlannersServer = 4'096, kOfPlannersProxy = 65'536;
+constexpr double kOfTableLine = 512;  // a server in the table of a proxy, at its planner
+constexpr double kOfHollowServer = 512, kOfStream = 32'768, kOfFollowedLine = 16;
+constexpr int kFilesKept = 64;
+
+struct Size {
+    std::string varied;
+    WireWorld world;
+    std::vector<WireEvent> events;
+};
+
+std::vector<Size> sizes_of(const WireOptions& options) {
+    std::vector<Size> sizes{{"base", options.base, options.events}};
+    for (const int planners : options.planners) {
+        WireWorld world = options.base;
+        world.hollow_planners = planners - world.real_planners;
+        sizes.push_back({"planners", world, {}});
+    }
+    for (const int proxies : options.proxies) {
+        WireWorld world = options.base;
+        world.proxies = proxies;
+        sizes.push_back({"proxies", world, {}});
+    }
+    for (const int servers : options.servers) {
+        WireWorld world = options.base;
+        world.servers = servers;
+        sizes.push_back({"servers", world, {}});
+    }
+    for (const double changes : options.changes) {
+        WireWorld world = options.base;
+        world.changes_per_second = changes;
+        sizes.push_back({"changes", world, {}});
+    }
+    return sizes;
+}
+
+double estimated_bytes(const WireWorld& world) {
+    const double servers = world.servers, proxies = world.proxies;
+    const double real = kOfPlanner + servers * kOfPlannersServer + proxies * kOfPlannersProxy +
+                        proxies * servers * kOfTableLine;
+    const double hollow = servers * kOfHollowServer;
+    const double stand_ins = world.planners() * (proxies + world.zones + 1) * kOfStream +
+                             world.real_planners * proxies * servers * kOfFollowedLine;
+    return world.real_planners * real + world.hollow_planners * hollow + stand_ins;
+}
+
+// Why the size can't be played on this machine now; empty: it can.
+std::string obstacle_to(const WireWorld& world, std::int64_t files) {
+    const MachineMemory memory = machine_memory();
+    const double needed = estimated_bytes(world);
+    const double room =
+        std::min<double>(memory.total_bytes / 2.0, static_cast<double>(memory.available_bytes));
+    if (needed > room)
+        return fmt::format("it is taken to need {:.0f} MiB, and {:.0f} MiB may be used", needed / kMebibyte,
+                           room / kMebibyte);
+    const std::int64_t sockets =
+        std::int64_t{world.planners()} * (world.proxies + world.zones + 3) + kFilesKept;
+    if (sockets > files) return fmt::format("it needs {} open files, {} are allowed", sockets, files);
+    return {};
+}
+
+std::string text_of(const WireWorld& world) {
+    return fmt::format("{} real and {} hollow planners, {} proxies each, {} servers, {} changes a second",
+                       world.real_planners, world.hollow_planners, world.proxies, world.servers,
+                       world.changes_per_second);
+}
+
+void say_point(const PointResult& point) {
+    fmt::print(stderr,
+               "  real planner: {:.1f}% of a core, {:.1f} MiB, {:.0f} B/s in, {:.0f} B/s out; in force after "
+               "{:.0f}, {:.0f}, {:.0f} ms (50, 99, 100 of 100); stand-ins {:.0f}% of a core\n",
+               100 * point.real.share_mean, point.real.bytes_mean / kMebibyte, point.real.all.bytes_in,
+               point.real.all.bytes_out, point.changes.in_force.p50, point.changes.in_force.p99,
+               point.changes.in_force.p100, 100 * point.stand_ins_share);
+    for (const EventFigures& event : point.events) {
+        const Delays& delays = event.first_message ? *event.first_message : event.changes.in_force;
+        fmt::print(stderr, "  {}: {} servers, {} samples, {:.0f}, {:.0f}, {:.0f} ms\n", name_of(event.event),
+                   event.servers, delays.samples, delays.p50, delays.p99, delays.p100);
+    }
+    for (const Comparison& comparison : point.comparisons) {
+        fmt::print(stderr, "  {}: real {:.1f}, hollow {:.1f} a second{}\n", comparison.figure,
+                   comparison.real, comparison.hollow, comparison.within ? "" : " BEYOND THE BOUND");
+    }
+    for (const Check& check : point.checks) {
+        fmt::print(stderr, "  {}: {} ({})\n", check.passed ? "passed" : "FAILED", check.name, check.seen);
+    }
+}
+
+json machine() {
+    const MachineMemory memory = machine_memory();
+    return {{"processor", processor_name()},
+            {"processors", processors()},
+            {"memory_bytes", memory.total_bytes},
+            {"memory_available_bytes", memory.available_bytes}};
+}
+
+class Run {
+ public:
+    explicit Run(const WireOptions& options) : options_(options), files_(raise_file_limit()) {}
+
+    bool play() {
+        const std::vector<Size> sizes = sizes_of(options_);
+        for (std::size_t i = 0; i < sizes.size(); ++i) {
+            fmt::print(stderr, "{} of {}, {}: {}\n", i + 1, sizes.size(), sizes[i].varied,
+                       text_of(sizes[i].world));
+            play(sizes[i]);
+        }
+        return passed_;
+    }
+
+    json results() const {
+        return {{"tool", "wire"},
+                {"machine", machine()},
+                {"text", options_.text},
+                {"seed", options_.seed},
+                {"hollow_bound", options_.hollow_bound},
+                {"settle_ms", options_.settle.count()},
+                {"points", points_},
+                {"left_out", left_out_},
+                {"passed", passed_}};
+    }
+
+ private:
+    void play(const Size& size) {
+        if (const std::string why = obstacle_to(size.world, files_); !why.empty())
+            return leave_out(size, why);
+        try {
+            const PointResult point = play_point(options_, size.varied, size.world, size.events);
+            say_point(point);
+            points_.push_back(to_json(point));
+            passed_ = passed_ && point.passed();
+        } catch (const std::runtime_error& failed) {
+            leave_out(size, failed.what());
+            passed_ = false;
+        }
+    }
+
+    void leave_out(const Size& size, const std::string& why) {
+        fmt::print(stderr, "  left out: {}\n", why);
+        left_out_.push_back(to_json(LeftOut{size.varied, size.world, why}));
+    }
+
+    const WireOptions& options_;
+    const std::int64_t files_;
+    json points_ = json::array(), left_out_ = json::array();
+    bool passed_ = true;
+};
+
+void write(const std::string& path, const json& results) {
+    if (path.empty()) {
+        std::cout << results.dump(2) << std::endl;
+        return;
+    }
+    std::ofstream file(path);
+    file << results.dump(2) << std::endl;
+    if (!file) throw std::system_error(errno, std::generic_category(), path);
+}
+
+}  // namespace
+}  // namespace wire
+
+int run_wire(const WireOptions& options) {
+    check(options);
+    signal(SIGPIPE, SIG_IGN);
+    wire::Run run(options);
+    const bool passed = run.play();
+    wire::write(options.output, run.results());
+    return passed ? 0 : kCheckFailed;
+}
+
+}  // namespace micaroad::scale
