--- a/bench/scale/wire_deployment.cpp
+++ b/bench/scale/wire_deployment.cpp
@@ -192,14 +192,17 @@
 }
 
 void Deployment::await_first_messages(Instant limit) {
-    const auto all_ordered = [this] {
-        for (int planner = 0; planner < sizes_.planners(); ++planner) {
-            if (proxies_->ordered(planner) < sizes_.proxies) return false;
-        }
-        return true;
-    };
+    const int proxies = sizes_.planners() * sizes_.proxies;
+    const auto all_ordered = [this, proxies] { return proxies_ordered() == proxies; };
     if (!run(all_ordered, std::chrono::ceil<Milliseconds>(limit - Clock::now())))
-        throw PointFailed("not all proxies had a first message in time");
+        throw PointFailed(
+            fmt::format("{} of {} proxies had a first message in time", proxies_ordered(), proxies));
+}
+
+int Deployment::proxies_ordered() const {
+    int number = 0;
+    for (int planner = 0; planner < sizes_.planners(); ++planner) number += proxies_->ordered(planner);
+    return number;
 }
 
 void Deployment::change_now_and_then() {
--- a/bench/scale/wire_deployment.hpp
+++ b/bench/scale/wire_deployment.hpp
@@ -78,6 +78,7 @@
     void start_real(const std::string& program);
     void await_alive(Instant limit);
     void await_first_messages(Instant limit);
+    int proxies_ordered() const;
     void change_now_and_then();
     void note_told(int planner, std::int64_t after, std::int64_t upto);
     void give_pace();
--- a/bench/scale/wire_main.cpp
+++ b/bench/scale/wire_main.cpp
@@ -11,6 +11,7 @@
 
 struct Milliseconds {
     std::int64_t start_limit, settle, window, event_limit, report_every;
+    std::vector<std::int64_t> reports;
     explicit Milliseconds(const WireOptions& options)
         : start_limit(options.start_limit.count()),
           settle(options.settle.count()),
@@ -23,6 +24,8 @@
         options.window = std::chrono::milliseconds(window);
         options.event_limit = std::chrono::milliseconds(event_limit);
         options.base.report_every = std::chrono::milliseconds(report_every);
+        for (const std::int64_t report : reports)
+            options.reports.push_back(std::chrono::milliseconds(report));
     }
 };
 
@@ -49,6 +52,8 @@
     app.add_option("--vary-proxies", options.proxies, "sizes, proxies of each planner")->delimiter(',');
     app.add_option("--vary-servers", options.servers, "sizes, servers")->delimiter(',');
     app.add_option("--vary-changes", options.changes, "sizes, changes a second")->delimiter(',');
+    app.add_option("--vary-report-ms", times.reports, "sizes, milliseconds between two reports on a server")
+        ->delimiter(',');
     app.add_option("--events", events, "burst, rack, zone, dial, discovery: on the base, in order")
         ->delimiter(',');
     app.add_option("--burst", options.burst, "servers that drain at once")->capture_default_str();
@@ -76,7 +81,8 @@
     add_world(app, options.base);
     add_run(app, options, times, events);
     app.add_flag("--all", all, "four sizes of each kind, and all events")
-        ->excludes("--vary-planners", "--vary-proxies", "--vary-servers", "--vary-changes", "--events");
+        ->excludes("--vary-planners", "--vary-proxies", "--vary-servers", "--vary-changes",
+                   "--vary-report-ms", "--events");
     try {
         app.parse(argc, argv);
         times.give_to(options);
@@ -85,12 +91,12 @@
             options.events.push_back(micaroad::scale::wire_event_of(event));
         return micaroad::scale::run_wire(options);
     } catch (const CLI::ParseError& parse) {
-        return app.exit(parse) == 0 ? 0 : micaroad::scale::kBadUsage;
+        return app.exit(parse) == 0 ? 0 : micaroad::scale::kExitBadUsage;
     } catch (const micaroad::scale::BadWireOptions& bad) {
         std::fprintf(stderr, "micaroad_scale_wire: %s\n", bad.what());
-        return micaroad::scale::kBadUsage;
+        return micaroad::scale::kExitBadUsage;
     } catch (const std::exception& failed) {
         std::fprintf(stderr, "micaroad_scale_wire: %s\n", failed.what());
-        return micaroad::scale::kCheckFailed;
+        return micaroad::scale::kExitCheckFailed;
     }
 }
--- a/bench/scale/wire_options.cpp
+++ b/bench/scale/wire_options.cpp
@@ -30,6 +30,8 @@
     expect_between("proxies of all planners", world.proxies * world.planners(), 1, kMostStreams);
     expect_between("--zones", world.zones, 1, 100);
     expect_between("--servers", world.servers, 2 * world.zones, kMostServers);
+    if (world.hollow_planners > 0)
+        expect_between("--servers beside hollow planners", world.servers, 1, kMostServersBesideHollow);
     expect_between("--methods", world.methods, 1, kMostMethods);
     expect_between("--changes", world.changes_per_second, 0.0, 100.0);
     expect_time("--report-ms", world.report_every, 100, 60'000);
@@ -57,36 +59,33 @@
     options.proxies = {8, 32, 64, 128};
     options.servers = {250, 1'000, 2'000, 4'000};
     options.changes = {0.5, 2, 5, 10};
+    options.reports = {std::chrono::milliseconds(250), std::chrono::milliseconds(500),
+                       std::chrono::milliseconds(2'000), std::chrono::milliseconds(4'000)};
     options.events = {WireEvent::burst, WireEvent::rack, WireEvent::zone, WireEvent::dial,
                       WireEvent::discovery};
 }
 
+std::vector<WireSize> sizes_of(const WireOptions& options) {
+    std::vector<WireSize> sizes{{"base", options.base, options.events}};
+    const auto add = [&](const char* varied) -> WireWorld& {
+        return sizes.emplace_back(WireSize{varied, options.base, {}}).world;
+    };
+    for (const int planners : options.planners) {
+        add("planners").hollow_planners = planners - options.base.real_planners;
+    }
+    for (const int proxies : options.proxies) add("proxies").proxies = proxies;
+    for (const int servers : options.servers) add("servers").servers = servers;
+    for (const double changes : options.changes) add("changes").changes_per_second = changes;
+    for (const auto report_every : options.reports) add("reports").report_every = report_every;
+    return sizes;
+}
+
 void check(const WireOptions& options) {
     if (access(options.planner_program.c_str(), X_OK) != 0)
         throw BadWireOptions("--planner '" + options.planner_program + "' is no program that can be run");
     if (options.seed == 0) throw BadWireOptions("--seed is 0: it has to be at least 1");
-    check_world(options.base);
-    for (const int planners : options.planners) {
-        expect_between("a size of --vary-planners", planners, options.base.real_planners, kMostPlanners);
-        WireWorld world = options.base;
-        world.hollow_planners = planners - world.real_planners;
-        check_world(world);
-    }
-    for (const int proxies : options.proxies) {
-        WireWorld world = options.base;
-        world.proxies = proxies;
-        check_world(world);
-    }
-    for (const int servers : options.servers) {
-        WireWorld world = options.base;
-        world.servers = servers;
-        check_world(world);
-    }
-    for (const double changes : options.changes) {
-        WireWorld world = options.base;
-        world.changes_per_second = changes;
-        check_world(world);
-    }
+    expect_between("sizes", static_cast<int>(sizes_of(options).size()), 1, kMostSizes);
+    for (const WireSize& size : sizes_of(options)) check_world(size.world);
     if (!options.events.empty()) expect_between("--burst", options.burst, 1, options.base.servers / 4);
     expect_between("--bound", options.hollow_bound, 0.0, 1.0);
     expect_between("--hollow-per-process", options.hollow_per_process, 1, kMostPlanners);
--- a/bench/scale/wire_options.hpp
+++ b/bench/scale/wire_options.hpp
@@ -9,18 +9,22 @@
 
 namespace micaroad::scale {
 
-// Thrown for a world or a flag that can't be used; the text names it. The program exits with kBadUsage then.
+// Thrown for a world or a flag that can't be used; the text names it. The program exits with kExitBadUsage
+// then.
 struct BadWireOptions : std::runtime_error {
     using std::runtime_error::runtime_error;
 };
 
-inline constexpr int kBadUsage = 64;    // sysexits.h: EX_USAGE
-inline constexpr int kCheckFailed = 1;  // a check of the run failed, or a point could not be played
+inline constexpr int kExitBadUsage = 64;    // sysexits.h: EX_USAGE
+inline constexpr int kExitCheckFailed = 1;  // a check of the run failed, or a point could not be played
 inline constexpr int kMostPlanners = 400;
 inline constexpr int kMostProcesses = 200;
 inline constexpr int kMostStreams = 8'000;  // of proxies, over all planners
 inline constexpr int kMostServers = 60'000;
+// A hollow planner takes the whole list from the watch, where a line holds 4 MiB at most.
+inline constexpr int kMostServersBesideHollow = 20'000;
 inline constexpr int kMostMethods = 64;
+inline constexpr int kMostSizes = 64;  // played in one run
 
 enum class WireEvent { burst, rack, zone, dial, discovery };
 const char* name_of(WireEvent event);
@@ -50,15 +54,24 @@
     // Sizes played with all else as in `base`. `planners` counts real and hollow ones.
     std::vector<int> planners, proxies, servers;
     std::vector<double> changes;
+    std::vector<std::chrono::milliseconds> reports;
     std::vector<WireEvent> events;  // played on `base`, after its window
     int burst = 100;                // servers that drain at once
-    double hollow_bound = 0.15;     // part by which a hollow planner's traffic may differ from a real one's
+    double hollow_bound = 0.10;     // part by which a hollow planner's traffic may differ from a real one's
     int hollow_per_process = 64;
     std::chrono::milliseconds start_limit{60'000};  // until each proxy has its first message
     std::chrono::milliseconds settle{5'000}, window{10'000};
     std::chrono::milliseconds event_limit{20'000};  // until all that was told is in force
 };
 
+// One size to be played, and which kind differs from the base.
+struct WireSize {
+    std::string varied;
+    WireWorld world;
+    std::vector<WireEvent> events;
+};
+std::vector<WireSize> sizes_of(const WireOptions& options);
+
 // Sizes of each kind beside the base, and all events: some minutes in all.
 void vary_all(WireOptions& options);
 
--- a/bench/scale/wire_point.cpp
+++ b/bench/scale/wire_point.cpp
@@ -60,20 +60,28 @@
     }
 }
 
-// Of planners numbered from `first` on.
-void add_traffic(PlannerFigures& figures, const Snapshot& before, const Snapshot& after, std::size_t first,
-                 int planners) {
-    const double seconds = seconds_between(before, after);
-    TrafficByRole sums{};
-    for (std::size_t planner = first; planner < first + static_cast<std::size_t>(planners); ++planner) {
-        for (std::size_t role = 0; role < kRoles; ++role) {
-            sums[role] += after.traffic[planner][role] - before.traffic[planner][role];
-        }
+// Planners numbered from `first` on.
+struct Group {
+    std::size_t first = 0;
+    int planners = 0;
+};
+
+void add_traffic(PlannerFigures& figures, const Snapshot& before, const Snapshot& after, const Group& group,
+                 Role role) {
+    const std::size_t end = group.first + static_cast<std::size_t>(group.planners);
+    const auto at = static_cast<std::size_t>(role);
+    Traffic sum;
+    for (std::size_t planner = group.first; planner < end; ++planner) {
+        sum += after.traffic[planner][at] - before.traffic[planner][at];
     }
-    figures.planners = planners;
-    figures.all = rates_of(sum_of(sums), seconds, planners);
-    for (std::size_t role = 0; role < kRoles; ++role) {
-        figures.by_role[role] = rates_of(sums[role], seconds, planners);
+    figures.planners = group.planners;
+    figures.by_role[at] = rates_of(sum, seconds_between(before, after), group.planners);
+    figures.all += figures.by_role[at];
+}
+
+void add_traffic(PlannerFigures& figures, const Snapshot& before, const Snapshot& after, const Group& group) {
+    for (const Role role : {Role::discovery, Role::collector, Role::proxy}) {
+        add_traffic(figures, before, after, group, role);
     }
 }
 
@@ -134,7 +142,8 @@
                       fmt::format("{} samples", point_.changes.in_force.samples));
     }
 
-    // A hollow planner writes what real ones wrote a pace before: its window begins and ends that much later.
+    // A hollow planner writes what real ones wrote in the last pace: for its proxies the window begins and
+    // ends that much later.
     struct Edge {
         Snapshot real, hollow;
     };
@@ -147,15 +156,19 @@
         return edge;
     }
 
+    Group real_planners() const { return {0, point_.world.real_planners}; }
+
     void note_figures(const Edge& before, const Edge& after) {
         const WireWorld& sizes = point_.world;
         point_.window_seconds = seconds_between(before.real, after.real);
         add_usage(point_.real, before.real.real, after.real.real, point_.window_seconds);
-        add_traffic(point_.real, before.real, after.real, 0, sizes.real_planners);
+        add_traffic(point_.real, before.real, after.real, real_planners());
         add_usage(point_.hollow, before.hollow.hollow, after.hollow.hollow,
                   seconds_between(before.hollow, after.hollow));
-        add_traffic(point_.hollow, before.hollow, after.hollow, static_cast<std::size_t>(sizes.real_planners),
-                    sizes.hollow_planners);
+        const Group hollow{static_cast<std::size_t>(sizes.real_planners), sizes.hollow_planners};
+        add_traffic(point_.hollow, before.real, after.real, hollow, Role::discovery);
+        add_traffic(point_.hollow, before.real, after.real, hollow, Role::collector);
+        add_traffic(point_.hollow, before.hollow, after.hollow, hollow, Role::proxy);
         note_stand_ins(before.real, after.real);
         for (int planner = 0; planner < sizes.real_planners; ++planner) {
             point_.mean_table += deployment_.proxies().mean_table(planner) / sizes.real_planners;
@@ -216,7 +229,7 @@
         figures.seconds = seconds_between(before, after);
         PlannerFigures real;
         add_usage(real, before.real, after.real, figures.seconds);
-        add_traffic(real, before, after, 0, point_.world.real_planners);
+        add_traffic(real, before, after, real_planners());
         figures.planner_share_mean = real.share_mean;
         figures.planner_traffic = real.all;
         figures.passed = figures.changes.not_in_force == 0 && figures.first_messages_missing == 0;
--- a/bench/scale/wire_proxies.cpp
+++ b/bench/scale/wire_proxies.cpp
@@ -163,9 +163,9 @@
 
 template <class Task>
 void ProxyFleet::each_of(int planner, const Task& task) const {
-    for (const auto& proxy : proxies_) {
-        if (proxy->identity().planner == planner) task(*proxy);
-    }
+    const auto each = static_cast<std::size_t>(world_.sizes().proxies);
+    const std::size_t first = each * static_cast<std::size_t>(planner);
+    for (std::size_t i = first; i < first + each; ++i) task(*proxies_[i]);
 }
 
 void ProxyFleet::dial_all() {
--- a/bench/scale/wire_result.cpp
+++ b/bench/scale/wire_result.cpp
@@ -87,6 +87,14 @@
             percentile(sorted, 100)};
 }
 
+TrafficRates& TrafficRates::operator+=(const TrafficRates& other) {
+    bytes_in += other.bytes_in;
+    bytes_out += other.bytes_out;
+    messages_in += other.messages_in;
+    messages_out += other.messages_out;
+    return *this;
+}
+
 TrafficRates rates_of(const Traffic& traffic, double seconds, int planners) {
     const double divisor = seconds * std::max(planners, 1);
     return {static_cast<double>(traffic.bytes_in) / divisor, static_cast<double>(traffic.bytes_out) / divisor,
--- a/bench/scale/wire_result.hpp
+++ b/bench/scale/wire_result.hpp
@@ -21,6 +21,7 @@
 // A second and planner.
 struct TrafficRates {
     double bytes_in = 0, bytes_out = 0, messages_in = 0, messages_out = 0;
+    TrafficRates& operator+=(const TrafficRates& other);
 };
 TrafficRates rates_of(const Traffic& traffic, double seconds, int planners);
 
--- a/bench/scale/wire_run.cpp
+++ b/bench/scale/wire_run.cpp
@@ -26,37 +26,6 @@
 constexpr double kOfHollowServer = 512, kOfStream = 32'768, kOfFollowedLine = 16;
 constexpr int kFilesKept = 64;
 
-struct Size {
-    std::string varied;
-    WireWorld world;
-    std::vector<WireEvent> events;
-};
-
-std::vector<Size> sizes_of(const WireOptions& options) {
-    std::vector<Size> sizes{{"base", options.base, options.events}};
-    for (const int planners : options.planners) {
-        WireWorld world = options.base;
-        world.hollow_planners = planners - world.real_planners;
-        sizes.push_back({"planners", world, {}});
-    }
-    for (const int proxies : options.proxies) {
-        WireWorld world = options.base;
-        world.proxies = proxies;
-        sizes.push_back({"proxies", world, {}});
-    }
-    for (const int servers : options.servers) {
-        WireWorld world = options.base;
-        world.servers = servers;
-        sizes.push_back({"servers", world, {}});
-    }
-    for (const double changes : options.changes) {
-        WireWorld world = options.base;
-        world.changes_per_second = changes;
-        sizes.push_back({"changes", world, {}});
-    }
-    return sizes;
-}
-
 double estimated_bytes(const WireWorld& world) {
     const double servers = world.servers, proxies = world.proxies;
     const double real = kOfPlanner + servers * kOfPlannersServer + proxies * kOfPlannersProxy +
@@ -122,7 +91,7 @@
     explicit Run(const WireOptions& options) : options_(options), files_(raise_file_limit()) {}
 
     bool play() {
-        const std::vector<Size> sizes = sizes_of(options_);
+        const std::vector<WireSize> sizes = sizes_of(options_);
         for (std::size_t i = 0; i < sizes.size(); ++i) {
             fmt::print(stderr, "{} of {}, {}: {}\n", i + 1, sizes.size(), sizes[i].varied,
                        text_of(sizes[i].world));
@@ -144,7 +113,7 @@
     }
 
  private:
-    void play(const Size& size) {
+    void play(const WireSize& size) {
         if (const std::string why = obstacle_to(size.world, files_); !why.empty())
             return leave_out(size, why);
         try {
@@ -158,7 +127,7 @@
         }
     }
 
-    void leave_out(const Size& size, const std::string& why) {
+    void leave_out(const WireSize& size, const std::string& why) {
         fmt::print(stderr, "  left out: {}\n", why);
         left_out_.push_back(to_json(LeftOut{size.varied, size.world, why}));
     }
@@ -188,7 +157,7 @@
     wire::Run run(options);
     const bool passed = run.play();
     wire::write(options.output, run.results());
-    return passed ? 0 : kCheckFailed;
+    return passed ? 0 : kExitCheckFailed;
 }
 
 }  // namespace micaroad::scale
--- a/bench/scale/wire_traffic.cpp
+++ b/bench/scale/wire_traffic.cpp
@@ -25,12 +25,6 @@
     return difference;
 }
 
-Traffic sum_of(const TrafficByRole& traffic) {
-    Traffic sum;
-    for (const Traffic& part : traffic) sum += part;
-    return sum;
-}
-
 void InForce::told(int proxy, std::size_t server, Instant now, bool in_use) {
     if (!in_use) {
         ++result_.not_holding;
--- a/bench/scale/wire_traffic.hpp
+++ b/bench/scale/wire_traffic.hpp
@@ -25,7 +25,6 @@
 // Of one planner, by the role at the other end.
 using TrafficByRole = std::array<Traffic, kRoles>;
 inline Traffic& of(TrafficByRole& traffic, Role role) { return traffic[static_cast<std::size_t>(role)]; }
-Traffic sum_of(const TrafficByRole& traffic);
 
 // From a server's end told to a planner until a proxy of that planner sends it nothing any more.
 class InForce {
--- a/tests/scale_wire_test.sh
+++ b/tests/scale_wire_test.sh
@@ -28,9 +28,12 @@
 refused "--servers is 5" --planner "$micaroad" --vary-servers 200,5
 refused "--changes is -1" --planner "$micaroad" --changes -1
 refused "--changes is nan" --planner "$micaroad" --changes nan
-refused "vary-planners" --planner "$micaroad" --vary-planners 1
+refused "--hollow is -1" --planner "$micaroad" --vary-planners 1
 refused "'flood'" --planner "$micaroad" --events flood
 refused "--burst" --planner "$micaroad" --events burst --servers 40
+refused "beside hollow" --planner "$micaroad" --servers 50000
+refused "--report-ms is 1" --planner "$micaroad" --vary-report-ms 1000,1
+refused "excludes" --planner "$micaroad" --all --vary-servers 200
 refused "--seed" --planner "$micaroad" --seed 0
 refused "--window-ms is 0" --planner "$micaroad" --window-ms 0
 
