Test: a plain reference of the module, and every order held against it

Orders have to be equal to the bit. The scenarios' player moves to tests/stage.hpp, so that either planner plays them.

bench/fleet_bench.cpp plays fleets in services, with a kind each.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -5,7 +5,12 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <chrono>
+#include <fstream>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "planner/core.hpp"
 
@@ -76,11 +81,127 @@
     state.counters["letters"] = benchmark::Counter(static_cast<double>(outlet.letters));
 }
 
+// A fleet in services: a method for each, with a pool of its own kind of server. As above each second one server drains
+// and a fresh one of its kind comes; reports on every server each second where `heard`.
+class ServiceFleet {
+ public:
+    ServiceFleet(int proxies, int servers, int services, bool heard)
+        : servers_(servers), services_(services), heard_(heard), core_(terms(proxies), names(), 7, outlet_, log_) {
+        protocol::ListSaid list{1, {event::List::Form::complete, {}}, {}, {}};
+        for (int s = 0; s < servers; ++s) {
+            list.list.servers.push_back(member(s));
+            list.addresses[list.list.servers.back().server] = "127.0.0.1:9";
+        }
+        say(arrival::ListTold{std::move(list)});
+        for (int p = 0; p < proxies; ++p)
+            say(arrival::StreamBegun{StreamId{static_cast<std::uint64_t>(p) + 1}, {{p}, {p % 3}, 1.0 + p % 5, true}});
+        newest_ = servers;
+    }
+
+    // One turn, a tenth of a second after the last; how long the core took, seconds.
+    double turn() {
+        if (tick_ % 10 == 0) second_passes();
+        for (const auto& [stream, mark] : std::exchange(outlet_.marks, {}))
+            say(arrival::StreamAnswered{stream, {{static_cast<int>(stream.value) - 1}, mark}});
+        const auto begun = std::chrono::steady_clock::now();
+        core_.turn(items_, now_);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+        items_.clear(), now_ += Span{1'000}, ++tick_;
+        return took.count();
+    }
+    bool changed_in_last() const { return (tick_ - 1) % 10 == 0; }
+    std::int64_t letters() const { return outlet_.letters; }
+
+ private:
+    Terms terms(int proxies) const {
+        Terms terms = fleet_terms(proxies);
+        terms.methods.clear();
+        for (int m = 0; m < services_; ++m) terms.methods.push_back({Span{15'000}, 3, false, {{m}}, {}});
+        return terms;
+    }
+    Names names() const {
+        Names names{{}, {"a", "b", "c"}, {}};
+        for (int m = 0; m < services_; ++m)
+            names.methods.push_back(fmt::format("r{}", m)), names.kinds.push_back(fmt::format("k{}", m));
+        return names;
+    }
+    void say(Arrival arrival) { items_.push_back({now_, std::move(arrival)}); }
+    ListedServer member(int number, std::optional<Instant> start = std::nullopt) const {
+        ListedServer listed = server(number, start);
+        listed.kind = {number % servers_ % services_};  // a fresh one takes the place of the one that drains
+        return listed;
+    }
+    void second_passes() {
+        for (int s = oldest_; heard_ && s < newest_; ++s) {
+            say(arrival::Reported{
+                event::Outcomes{server(s).server, {0}, 12, 0, Span{3'000 + s % 900}, Span{10'000}}});
+        }
+        if (tick_ == 0) return;
+        protocol::ListSaid changes{++version_, {event::List::Form::changes, {}}, {}, {}};
+        auto gone = member(oldest_++);
+        gone.phase = Phase::gone;
+        changes.list.servers = {gone, member(newest_++, now_)};
+        changes.addresses[changes.list.servers[1].server] = "127.0.0.1:9";
+        say(arrival::ListTold{changes});
+    }
+
+    const int servers_, services_;
+    const bool heard_;
+    Log log_{::open("/dev/null", O_WRONLY)};
+    Counting outlet_;
+    Core core_;
+    Instant now_{Span{17'000'000'000'000}};
+    std::vector<Inbox::Item> items_;
+    int tick_ = 0, oldest_ = 0, newest_ = 0, version_ = 1;
+};
+
+// Resident memory of this process, MB.
+double resident_mb() {
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmRSS:")) return std::stod(line.substr(6)) / 1024;
+    return 0;
+}
+
+// By proxies, servers, services and whether they are heard. start_ms: the first turn, with the whole list and all
+// streams; longest_ms: of all later turns; core: part of one, by the later turns; change_us: the mean of the turns in
+// which a server is replaced.
+void services(benchmark::State& state) {
+    const auto arg = [&state](int at) { return static_cast<int>(state.range(at)); };
+    ServiceFleet fleet(arg(0), arg(1), arg(2), arg(3) != 0);
+    const double start = fleet.turn();
+    double sum = 0, longest = 0, in_changes = 0;
+    int turns = 0, changes = 0;
+    for (auto _ : state) {
+        const double took = fleet.turn();
+        state.SetIterationTime(took);
+        sum += took, longest = std::max(longest, took), ++turns;
+        if (fleet.changed_in_last()) in_changes += took, ++changes;
+    }
+    state.counters["start_ms"] = 1'000 * start;
+    state.counters["longest_ms"] = 1'000 * longest;
+    state.counters["core"] = sum / (0.1 * turns);
+    state.counters["change_us"] = changes > 0 ? 1e6 * in_changes / changes : 0;
+    state.counters["rss_mb"] = resident_mb();
+    state.counters["letters"] = static_cast<double>(fleet.letters());
+}
+
 // 300 decisions: thirty seconds of a planner's life.
 BENCHMARK(fleet)
     ->Args({72, 24})->Args({480, 200})->Args({2'400, 200})->Args({2'400, 1'024})
     ->Iterations(300)->Unit(benchmark::kMicrosecond);
 
+BENCHMARK(services)
+    ->Args({16, 2'000, 20, 1})->Args({16, 2'000, 40, 1})->Args({64, 1'000, 50, 1})
+    ->Args({16, 8'000, 160, 0})->Args({16, 8'000, 160, 1})->Args({16, 56'000, 1'100, 0})
+    ->Iterations(300)->UseManualTime()->Unit(benchmark::kMicrosecond);
+
+// One server's change by the number of other pools, ten servers each: none is heard, so that no weight moves.
+BENCHMARK(services)
+    ->Name("change_among_pools")
+    ->Args({16, 100, 10, 0})->Args({16, 400, 40, 0})->Args({16, 1'600, 160, 0})->Args({16, 6'400, 640, 0})
+    ->Iterations(300)->UseManualTime()->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 
 BENCHMARK_MAIN();
--- a/tests/drain_oracle_test.cpp
+++ b/tests/drain_oracle_test.cpp
@@ -16,6 +16,7 @@
 
 #include "helpers.hpp"
 #include "planner/core.hpp"
+#include "reference/compare.hpp"
 
 using namespace micaroad;
 
@@ -36,6 +37,7 @@
     double lines_per_second = 1'000, lines_waiting_most = 1'000, pace = 1;
     Span lasts = s(150);
     double marks_lost = 0;  // of the answers to marks
+    bool compared = false;  // with what the plain reference orders
 
     Terms terms() const {
         Terms terms = test::terms();
@@ -145,6 +147,7 @@
         const int number;
         test::Quiet quiet;
         std::optional<Core> core;  // absent while it is down
+        std::optional<reference::Comparison> comparison;  // absent where none is asked for
         std::vector<Arrival> arrivals;
         std::size_t heard = 0;  // of the yard's changes
         Instant stalled_until{};
@@ -160,7 +163,9 @@
             begin(seed);
         }
         void begin(std::uint64_t seed) {
-            core.emplace(yard.day_.terms(), test::names(), seed * 7 + number, *this, quiet.log);
+            if (yard.day_.compared) comparison.emplace(yard.day_.terms(), seed * 7 + number);
+            core.emplace(yard.day_.terms(), test::names(), seed * 7 + number, *this, quiet.log,
+                         comparison ? &*comparison : nullptr);
         }
         void turn() {
             if (!core) return arrivals.clear();
@@ -169,6 +174,8 @@
             std::vector<Inbox::Item> items;
             for (auto& arrival : std::exchange(arrivals, {})) items.push_back({now, std::move(arrival)});
             core->turn(items, now);
+            if (comparison && !comparison->difference().empty())
+                yard.complain(comparison->difference().c_str(), number, -1, "", {});
         }
         void write(StreamId stream, std::string_view message) override {
             yard.send(*this, stream, std::string(message));
@@ -569,3 +576,10 @@
     // A third of the answers to marks never comes.
     CHECK(broken_of({"join", Trouble::join, 5, 240, 60, 200, 4'330, 1, lasts, 0.33}, 1, 3) == 0);
 }
+
+// What the module orders on the oracle's days is what its plain reference orders, to the bit.
+TEST_CASE("the reference orders the same on the oracle's days") {
+    CHECK(broken_of({"usual", Trouble::usual, 2, 72, 24, 1'000, 1'000, 1, s(60), 0, true}, 1, 6) == 0);
+    for (const Trouble trouble : {Trouble::roll, Trouble::herd, Trouble::zone, Trouble::join})
+        CHECK(broken_of({"compared", trouble, 5, 240, 60, 200, 4'330, 1, s(45), 0, true}, 1, 1) == 0);
+}
--- /dev/null
+++ b/tests/reference/figures.hpp
@@ -0,0 +1,72 @@
+// Arithmetic and look-ups that decide nothing.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "reference/planner.hpp"
+
+namespace micaroad::reference {
+
+inline double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+
+// Where a falling function crosses a level.
+template <class Falling>
+double crossing(double low, double high, double level, Falling value) {
+    for (int i = 0; i < 50; ++i) {
+        const double half = (low + high) / 2;
+        (value(half) > level ? low : high) = half;
+    }
+    return low;
+}
+
+// Of values with their weights: the one that half of the weight lies under.
+inline double middle(std::vector<std::pair<double, double>> values) {
+    std::sort(values.begin(), values.end());
+    double rest = 0;
+    for (const auto& [value, weight] : values) rest += weight / 2;
+    for (const auto& [value, weight] : values) {
+        if ((rest -= weight) <= 0) return value;
+    }
+    return 0;
+}
+
+// A figure of each member, in a row.
+template <class Members, class Figure>
+Row row_of(const Members& members, Figure figure) {
+    Row row(members.size());
+    for (std::size_t i = 0; i < members.size(); ++i) row[i] = figure(*members[i]);
+    return row;
+}
+
+// For each member the sum of a figure over all of its kind.
+template <class Members>
+Row kind_sums(const Members& members, const Row& figure) {
+    std::map<KindId, double> sums;
+    for (std::size_t i = 0; i < members.size(); ++i) sums[members[i]->seen.entry.kind] += figure[i];
+    return row_of(members, [&sums](const auto& member) { return sums.at(member.seen.entry.kind); });
+}
+
+// Is a method, at proxies of a zone where it keeps to its own, open to a server?
+inline bool open_to(const Method& method, std::optional<ZoneId> home, const ListedServer& server) {
+    const auto among = [](const auto& only, const auto& id) {
+        return only.empty() || std::find(only.begin(), only.end(), id) != only.end();
+    };
+    return among(method.only_kinds, server.kind) && among(method.only_zones, server.zone) &&
+           (!home || *home == server.zone);
+}
+
+inline bool open_alike(const Method& one, const Method& other) {
+    return one.only_kinds == other.only_kinds && one.only_zones == other.only_zones;
+}
+
+inline double shortest_soft_deadline(const Terms& terms) {
+    Span span = Span::max();
+    for (const Method& method : terms.methods) span = std::min(span, method.soft_deadline);
+    return seconds(span);
+}
+
+}  // namespace micaroad::reference
--- /dev/null
+++ b/tests/stage.hpp
@@ -0,0 +1,313 @@
+// Plays a scenario of tests/scenarios against a planner. tests/scenarios/README.md tells the notation.
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "micaroad/planner.hpp"
+
+namespace micaroad::test {
+
+inline Span ms(double value) { return Span{std::llround(value * 10)}; }
+
+// The terms and the planner of one scenario, the time that passes, and what its proxies hold by the orders.
+// `AnyPlanner` hears events and decides as micaroad::Planner does.
+template <class AnyPlanner>
+struct Stage {
+    Terms terms;
+    std::optional<AnyPlanner> planner;
+    Instant now{ms(1'000'000)};
+    std::vector<std::pair<Instant, TimerId>> timers;
+    std::vector<std::pair<Span, std::string>> habits;  // statements said again and again
+    std::map<int, std::map<std::string, double>> tables;
+    std::set<std::string> withdrawn;
+    std::map<int, std::map<int, int>> bound;  // table by proxy and method
+    std::map<int, double> levels;
+    std::map<int, FurtherTry> tries;
+    double lines = 0, widest_step = 0;
+    int batches = 0, subscriptions = 0;
+    std::string told;  // every order, in order
+
+    std::map<std::string, double> shares(std::map<std::string, double> table) const {
+        double sum = 0;
+        std::erase_if(table, [this](const auto& line) { return withdrawn.contains(line.first); });
+        for (const auto& [server, weight] : table) sum += weight;
+        for (auto& [server, weight] : table) weight /= sum;
+        return table;
+    }
+
+    double users(int table) const {  // proxies that are bound to it
+        const auto uses = [table](const auto& proxy) {
+            return std::any_of(proxy.second.begin(), proxy.second.end(),
+                               [table](const auto& at) { return at.second == table; });
+        };
+        return static_cast<double>(std::count_if(bound.begin(), bound.end(), uses));
+    }
+
+    void obey(const order::SetLine& o) {
+        REQUIRE(std::isfinite(o.weight));
+        REQUIRE(o.weight >= 0);
+        if (terms.single_owner && o.weight > 0) tables[o.table.value].clear();
+        o.weight > 0 ? (void)(tables[o.table.value][o.server.value] = o.weight)
+                     : (void)tables[o.table.value].erase(o.server.value);
+        told += "line " + std::to_string(o.table.value) + o.server.value + std::to_string(o.weight);
+        lines += users(o.table.value);
+    }
+    void obey(const order::Withdraw& o) {
+        o.out ? (void)withdrawn.insert(o.server.value) : (void)withdrawn.erase(o.server.value);
+        told += "withdraw" + o.server.value + std::to_string(o.out);
+        for (const auto& [table, its] : tables) lines += its.contains(o.server.value) ? users(table) : 0;
+    }
+    void obey(const order::Mark& o) { planner->hear(event::MarkApplied{{0}, o.mark}); }
+    void obey(const order::Bind& o) {
+        for (const auto& method : o.methods) bound[o.proxy.value][method.value] = o.table.value;
+        lines += 1 + static_cast<double>(tables[o.table.value].size());
+    }
+    void obey(const order::SetLevel& o) {
+        for (const auto& method : o.methods) {
+            levels[method.value] = o.amount;
+            tries[method.value] = o.further_tries;
+        }
+        told += "level" + std::to_string(o.amount);
+    }
+    void obey(const order::StartTimer& o) { timers.emplace_back(now + o.after, o.timer); }
+    void obey(const order::Subscribe&) { ++subscriptions; }
+    template <class Other>
+    void obey(const Other&) {}
+
+    void decide() {
+        const auto before = tables;
+        const auto withdrawn_before = withdrawn;
+        const auto orders = planner->decide(now);
+        for (const Order& order : orders) std::visit([this](const auto& o) { obey(o); }, order);
+        if (tables != before || withdrawn != withdrawn_before) ++batches;
+        for (const auto& [table, lines_now] : tables) {
+            if (!before.contains(table) || before.at(table).size() != lines_now.size()) continue;
+            double sum = 0;
+            if (withdrawn != withdrawn_before) continue;
+            const auto then = shares(before.at(table));
+            for (const auto& [server, share] : shares(lines_now)) {
+                if (then.contains(server)) sum += std::pow(share - then.at(server), 2);
+            }
+            widest_step = std::max(widest_step, std::sqrt(sum));
+        }
+    }
+
+    void run(Span length) {
+        decide();
+        for (const Instant end = now + length; now < end;) {
+            now += ms(100);
+            for (auto& [every, statement] : habits) {
+                if (now.time_since_epoch() % every == Span{}) say(statement);
+            }
+            for (const auto& [due, timer] : std::exchange(timers, {})) {
+                due <= now ? planner->hear(event::TimerDue{timer}) : (void)timers.emplace_back(due, timer);
+            }
+            decide();
+        }
+    }
+
+    // name[:zone[:kind]][=phase][@started_ms_ago]
+    ListedServer listed(std::string word) const {
+        ListedServer server;
+        const auto cut = [&word](char at) {
+            const auto place = word.find(at);
+            const std::string rest = place == std::string::npos ? "" : word.substr(place + 1);
+            word = word.substr(0, place);
+            return rest;
+        };
+        if (const auto ago = cut('@'); !ago.empty()) server.last_start = now - ms(std::stod(ago));
+        const auto phase = cut('=');
+        server.phase = phase == "draining" ? Phase::draining : phase == "gone" ? Phase::gone : Phase::ready;
+        std::istringstream parts(word);
+        std::string part;
+        std::getline(parts, server.server.value, ':');
+        if (std::getline(parts, part, ':')) server.zone.value = std::stoi(part);
+        if (std::getline(parts, part, ':')) server.kind.value = std::stoi(part);
+        return server;
+    }
+
+    void say_method(std::istream& in) {
+        Method method;
+        std::string more;
+        double soft = 0;
+        in >> soft >> method.criticality;
+        method.soft_deadline = ms(soft);
+        while (in >> more) {
+            if (more == "own-zone") method.own_zone_only = true;
+            if (more.rfind("kind=", 0) == 0) method.only_kinds.push_back({std::stoi(more.substr(5))});
+        }
+        terms.methods.push_back(method);
+    }
+
+    void say_terms(std::istream& in) {
+        std::string key;
+        double value = 0;
+        in >> key >> value;
+        const std::map<std::string, std::function<void()>> keys{
+            {"proxies", [&] { terms.proxies = static_cast<int>(value); }},
+            {"planners", [&] { terms.planners = static_cast<int>(value); }},
+            {"zones", [&] { terms.zones = static_cast<int>(value); }},
+            {"pace", [&] { terms.lines_per_second = value; }},
+            {"grace", [&] { terms.drain_grace = ms(value); }},
+            {"waiting", [&] { terms.lines_waiting_most = value; }},
+            {"messages", [&] { terms.messages_most = static_cast<int>(value); }},
+            {"slices", [&] { terms.slices = static_cast<int>(value); }},
+            {"single-owner", [&] { terms.single_owner = value != 0; }},
+            {"levels-as-rate", [&] { terms.levels = value != 0 ? LevelKind::rate : LevelKind::share; }},
+            {"dropped-may-serve", [&] { terms.dropped_may_serve = value != 0; }},
+            {"subscribe", [&] { terms.must_subscribe = value != 0; }},
+        };
+        keys.at(key)();
+    }
+
+    void expect(std::istream& in) {
+        std::string what, sign;
+        in >> what;
+        double found = 0, wanted = 0;
+        const auto number = [&in] {
+            int n = 0;
+            in >> n;
+            return n;
+        };
+        if (what == "share") {
+            const auto& table = tables[number()];
+            std::string server;
+            in >> server;
+            const auto share = shares(table);
+            found = share.contains(server) ? share.at(server) : 0;
+        } else if (what == "table") {
+            found = static_cast<double>(shares(tables[number()]).size());
+        } else if (what == "bound") {
+            const int proxy = number();
+            found = bound[proxy].contains(number()) ? 1 : 0;
+        } else if (what == "users") {
+            found = users(number());
+        } else if (what == "level") {
+            const int method = number();
+            found = levels.contains(method) ? levels[method] : 1;
+        } else if (what == "tries") {
+            found = static_cast<int>(tries[number()]);
+        } else {
+            const std::map<std::string, double> counts{{"lines", lines}, {"step", widest_step},
+                                                       {"batches", batches}, {"subscriptions", subscriptions}};
+            found = counts.at(what);
+        }
+        in >> sign >> wanted;
+        CAPTURE(found, sign, wanted);
+        CHECK((sign == "<" ? found < wanted : sign == ">" ? found > wanted : found == wanted));
+    }
+
+    void say(const std::string& line) {
+        std::istringstream in(line);
+        std::string verb, word;
+        if (!(in >> verb) || verb[0] == '#') return;
+        INFO(line);
+        if (verb == "method") return say_method(in);
+        if (verb == "terms") return say_terms(in);
+        if (verb == "expect") return expect(in);
+        if (verb == "reset") return (void)(lines = widest_step = batches = 0);
+        if (verb == "quiet") return habits.clear();
+        if (verb == "start") {
+            tables.clear();
+            withdrawn.clear();
+            bound.clear();
+            timers.clear();
+            planner.emplace(terms, 7u);
+            return;
+        }
+        double a = 0, b = 0, c = 0, d = 0;
+        if (verb == "every") {
+            in >> a;
+            std::getline(in, word);
+            habits.emplace_back(ms(a), word);
+        } else if (verb == "run") {
+            in >> a;
+            run(ms(a));
+        } else if (verb == "list") {
+            event::List list;
+            in >> word;
+            list.form = word == "changes"    ? event::List::Form::changes
+                        : word == "complete" ? event::List::Form::complete
+                        : word == "restored" ? event::List::Form::restored
+                                             : event::List::Form::unavailable;
+            while (in >> word) list.servers.push_back(listed(word));
+            planner->hear(list);
+        } else if (verb == "join") {
+            in >> a >> b;
+            planner->hear(event::ProxyJoined{{static_cast<int>(a)}, {static_cast<int>(b)}, 5});
+        } else if (verb == "join-many") {  // each sends more than the one before
+            in >> a;
+            for (int p = 0; p < a; ++p) planner->hear(event::ProxyJoined{{p}, {0}, 1.0 * p, true});
+        } else if (verb == "leave") {
+            in >> a;
+            bound.erase(static_cast<int>(a));
+            planner->hear(event::ProxyLeft{{static_cast<int>(a)}});
+        } else if (verb == "met") {
+            std::string tries_word;
+            in >> word >> tries_word >> b >> c >> d;
+            a = tries_word == "nan" ? std::nan("") : std::stod(tries_word);
+            planner->hear(event::Outcomes{{word}, {0}, a, b, ms(c), ms(d)});
+        } else if (verb == "came") {
+            in >> a >> b >> c;
+            const MethodId method{static_cast<int>(b)};
+            planner->hear(event::Arrivals{{static_cast<int>(a)}, method, c, 0, ms(500)});
+        } else if (verb == "slice") {
+            in >> a >> word;
+            planner->hear(event::SliceGiven{{static_cast<int>(a)}, word == "ours"});
+            if (word == "ours") tables.erase(static_cast<int>(a));
+        } else if (verb == "owner") {
+            in >> a >> word;
+            tables[static_cast<int>(a)][word] = 1;
+            planner->hear(event::SliceOwner{{static_cast<int>(a)}, {word}, 1});
+        } else {
+            FAIL("no such statement: " << line);
+        }
+    }
+};
+
+// Plays a scenario. What every order was, in order.
+template <class AnyPlanner>
+std::string play(const std::filesystem::path& file) {
+    Stage<AnyPlanner> stage;
+    stage.terms.proxies = 4;
+    stage.terms.lines_per_second = 1000;
+    stage.terms.lines_per_message = 3;
+    stage.terms.lines_waiting_most = 2000;
+    stage.terms.messages_span = ms(10'000);
+    stage.terms.report_every = ms(500);
+    stage.terms.message_longest = ms(500);
+    stage.terms.drain_grace = ms(2000);
+    stage.terms.warm_after = ms(15'000);
+    stage.terms.cold_capacity = 0.2;
+    stage.terms.fall_multiple = 3;
+    stage.terms.fall_span = ms(1500);
+    stage.terms.levels = LevelKind::share;
+    stage.terms.owner_lease = ms(2500);
+    stage.terms.write_life = ms(5000);
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) stage.say(line);
+    return stage.told;
+}
+
+// Every scenario there is, by name.
+inline std::vector<std::filesystem::path> scenario_files() {
+    std::vector<std::filesystem::path> files;
+    for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS)) {
+        if (entry.path().extension() == ".txt") files.push_back(entry.path());
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+}  // namespace micaroad::test
