Weights by what a pool holds: a change works out the pools it touches alone

Change: src/memberships.hpp keeps each pool's own servers and each server's places. A change, a kind or a zone that differs and the age of who is not warm touch their pools; only these are worked out and only servers whose figures changed are told of. A step's trial costs a pool its own servers. Sums keep their order, and adding 0 changes none, so shares are the same to the bit; the highest weight outside a pool, on which the rounding depends, is kept too.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -15,6 +15,7 @@
 
 #include "figures.hpp"
 #include "ledger.hpp"
+#include "memberships.hpp"
 #include "notes.hpp"
 
 namespace micaroad {
@@ -81,53 +82,49 @@
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
 
 struct Weigher : Part {
-    struct Member {
-        Standing seen{}; Row weight{}, share{};  // figures by pool
-        bool trusted = false, doubted = false;
-    };
-    struct Pool { Binding binding; Method like; double part = 1; };  // part: of the traffic
-    using Members = std::vector<Member*>; using Shares = std::vector<Row>;  // by pool, of the open servers
+    using Shares = std::vector<Row>;  // by pool that has servers, each a row of its own
 
     Desk& desk; Part& channel;
-    std::vector<Pool> pools;
-    std::map<ServerId, Member> members;
+    Memberships held{};
     bool changed = false; Demand demand{};
     // Seconds; RPCs a second from all proxies, and by size; sizes of all open servers, not long ago.
     double limit = 0, total = 0, usual = 0, size_most = 0;
 
     Weigher(Desk& desk, Part& channel) : desk(desk), channel(channel) {
+        std::map<std::tuple<std::vector<KindId>, std::vector<ZoneId>, std::optional<ZoneId>>, std::size_t> known;
         for (int m = 0; m < std::ssize(desk.terms.methods) && desk.terms.slices == 0; ++m) {
             const Method& method = desk.terms.methods[m];
             for (int zone = 0; zone < (method.own_zone_only ? desk.terms.zones : 1); ++zone) {
                 const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
-                auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool& p) {
-                    return open_alike(p.like, method) && p.binding.zone == home;
-                });
-                const TableId table{static_cast<int>(pools.size()) + 1};
-                if (pool == pools.end()) pool = pools.insert(pool, {{table, {}, home}, method});
-                pool->binding.methods.push_back(MethodId{m});
+                const TableId table{static_cast<int>(held.pools.size()) + 1};
+                const auto [pool, added] = known.try_emplace({method.only_kinds, method.only_zones, home},
+                                                             held.pools.size());
+                if (added) {
+                    WeighedPool& fresh = held.pools.emplace_back();
+                    fresh.binding.table = table, fresh.binding.zone = home, fresh.like = method;
+                }
+                held.pools[pool->second].binding.methods.push_back(MethodId{m});
             }
         }
-        for (const Pool& pool : pools) channel.inbox.push_back(pool.binding);
+        held.index_pools();
+        for (const WeighedPool& pool : held.pools) channel.inbox.push_back(pool.binding);
     }
 
     void on(const Standing& note) {
-        auto [at, added] = members.try_emplace(note.entry.server);
-        Member& member = at->second;
+        auto [member, added] = held.member(note.entry.server);
         // The first servers are taken on trust: a planner that starts over has nobody else.
-        if (added) member.trusted = usual == 0, member.weight = member.share = Row(pools.size());
-        // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
-        if (note.open && !member.seen.open) member.weight = std::log(note.entry.size);
+        if (added) member.trusted = usual == 0, held.queue(member);
         const bool doubted = !member.trusted && !note.last_ok && note.tries > 0;
         changed |= added || doubted != member.doubted || note.open != member.seen.open ||
                    note.entry.last_start != member.seen.entry.last_start;
-        member.seen = note, member.doubted = doubted;
+        // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
+        held.update(member, note, doubted, std::log(note.entry.size));
     }
 
     void on(const Pulse&) { if (std::exchange(changed, false)) publish(); }
     void on(const Demand& note) {
         demand = note;
-        for (Pool& pool : pools) {
+        for (WeighedPool& pool : held.pools) {
             double rate = 0;
             for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
             if (rate > 0) pool.part = rate / note.rates.sum();
@@ -135,7 +132,7 @@
     }
 
     void on(const Step&) {
-        const Members open = open_members();
+        const std::vector<Member*> open = held.open();
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish();
         const double ours = rate.sum();
@@ -146,15 +143,21 @@
         size_most = std::max(size_most * 0.9, row_of(open, [](auto& m) { return m.seen.entry.size; }).sum());
         usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
-        Shares now(pools.size());  // as published
-        for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
+        std::vector<PoolRows> pools;
+        for (std::size_t k = 0; k < held.pools.size(); ++k) if (!held.pools[k].places.empty()) pools.push_back(rows_of(k));
+        const auto part = [&](const PoolRows& pool) { return held.pools[pool.pool].part; };
         const auto ahead = [&](const Shares& to, TailTerm tail) {
             Row at = rate;
-            for (int k = 0; k < std::ssize(now); ++k) at += ours * pools[k].part * (to[k] - now[k]);
+            for (std::size_t k = 0; k < pools.size(); ++k) {
+                const double its = ours * part(pools[k]);
+                for (std::size_t i = 0; i < to[k].size(); ++i) {
+                    at[pools[k].index[i]] += its * (to[k][i] - pools[k].share[i]);
+                }
+            }
             at[at < 0.0] = 0;
             return look_ahead(at, capacity, tail);
         };
-        const Shares stay = shares(open, 0, {});
+        const Shares stay = all_shares(pools, 0, {});
         // The factor stops at the limit: past it the model is so stiff that a larger one allows no step.
         const double lateness = std::min(ahead(stay, {0, 1, kClamp}).p95 / limit, 1.0);
         const TailTerm tail{5 * std::exp(10 * (lateness - 1)), limit, kClamp};
@@ -162,25 +165,24 @@
         Shares downhill = stay;  // how far the weights go in a whole step
         const double scale = kStepScale * std::ssize(open) / std::max(here.cost, 1e-9) * ours;
         for (std::size_t k = 0; k < pools.size(); ++k) {
-            downhill[k] *= scale * pools[k].part * (here.slope - (stay[k] * here.slope).sum());
+            if (stay[k].size() == 0) continue;
+            const Row slope = row_at(pools[k].index, here.slope);
+            downhill[k] *= scale * part(pools[k]) * (slope - (stay[k] * slope).sum());
         }
         const auto room = [&](double c) {
-            const Shares share = shares(open, c, downhill);
+            const Shares share = all_shares(pools, c, downhill);
             double moved = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) moved += std::pow(share[k] - stay[k], 2.0).sum();
+            for (std::size_t k = 0; k < pools.size(); ++k) {
+                if (share[k].size() > 0) moved += std::pow(share[k] - stay[k], 2.0).sum();
+            }
             return kMostMove - std::sqrt(moved);
         };
-        const auto cost = [&](double c) { return ahead(shares(open, c, downhill), tail).cost; };
+        const auto cost = [&](double c) { return ahead(all_shares(pools, c, downhill), tail).cost; };
         double c = room(1) >= 0 ? 1 : crossing(0, 1, 0, room);
         // A step within the bound can still overshoot what the model says is best along it: halved until not.
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
-        for (std::size_t k = 0; k < pools.size() && here.cost - best > kLeastGain * here.cost; ++k) {
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                const double least = std::log(open[i]->seen.entry.size) + kLeast;
-                open[i]->weight[k] = std::max(open[i]->weight[k] - c * downhill[k][i], least);
-            }
-        }
+        if (here.cost - best > kLeastGain * here.cost) move(open, pools, c, downhill);
         publish();
     }
 
@@ -194,19 +196,26 @@
     // Of a listed share: many must not cost much, one must be tried. More comes by chance once a day.
     static constexpr double kTrial = 0.1, kDeviations = 4;
 
-    Members open_members() {
-        Members open;
-        for (auto& [id, member] : members) if (member.seen.open) open.push_back(&member);
-        return open;
+    void move(const std::vector<Member*>& open, const std::vector<PoolRows>& pools, double c, const Shares& downhill) {
+        const auto least = [](const Member& member) { return std::log(member.seen.entry.size) + kLeast; };
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            for (std::size_t i = 0; i < pools[k].places.size(); ++i) {
+                Place& place = *pools[k].places[i];
+                place.weight = std::max(place.weight - c * downhill[k][i], least(*place.member));
+            }
+        }
+        for (Member* const member : open) held.set_entering(*member, std::max(member->entering, least(*member)));
+        held.touch_all();
     }
+
     // Mechanism 1. Guards against a server that fails fast (looks idle), hangs or can't be reached: a failed
     // try is an answer at twice the tail's limit. It could harm where few RPCs come: hence the doubts.
-    bool weigh_evidence(const Members& open, Row& rate, Row& answer) {
+    bool weigh_evidence(const std::vector<Member*>& open, Row& rate, Row& answer) {
         const Row tries = row_of(open, [](const Member& m) { return m.seen.tries; });
         const Row bad = row_of(open, [](const Member& m) { return m.seen.bad; });
         const Row answers = row_of(open, [](const Member& m) { return m.seen.answer_seconds; });
         const Row ok = tries - bad;
-        if (open.empty() || pools.empty() || ok.sum() <= 0) return false;
+        if (open.empty() || held.pools.empty() || ok.sum() <= 0) return false;
         const double mean = answers.sum() / ok.sum();
         if (limit == 0) limit = std::max(shortest_soft_deadline(desk.terms), 2 * mean);
         const Row usual_here = (kind_sums(open, answers) + kDoubt * mean) / (kind_sums(open, ok) + kDoubt);
@@ -237,46 +246,64 @@
         return std::min(most, std::min(able * warm, root * root) / (total * seconds(t.fall_span)));
     }
 
-    Row sizes(std::size_t k, const Members& open) const {
-        const Pool& pool = pools[k];
-        return row_of(open, [&pool](const Member& m) {
-            return open_to(pool.like, pool.binding.zone, m.seen.entry) ? m.seen.entry.size : 0;
-        });
+    PoolRows rows_of(std::size_t pool) {
+        PoolRows rows = held.rows_of(pool);
+        rows.most = Row(rows.places.size());
+        for (std::size_t i = 0; i < rows.places.size(); ++i) {
+            rows.most[i] = ceiling(*rows.places[i]->member, rows.size[i] / rows.sizes);
+        }
+        return rows;
     }
 
     // Softmax over the servers that a pool is open to, after a part of a step; none above its ceiling while
     // others have room.
-    Shares shares(const Members& open, double c, const Shares& downhill) const {
-        Shares all(pools.size(), Row(open.size()));
-        for (std::size_t k = 0; k < pools.size() && !open.empty(); ++k) {
-            const Row size = sizes(k, open);
-            if (size.sum() == 0) continue;
-            Row weight = row_of(open, [k](const Member& m) { return m.weight[k]; });
-            if (!downhill.empty()) weight -= c * downhill[k];
-            Row share = std::exp(weight - weight.max());
-            share[size == 0.0] = 0, share /= share.sum();
-            Row eased = share, free = share;
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                const double most = ceiling(*open[i], size[i] / size.sum());
-                (most < 1 ? free : eased)[i] = 0;
-                eased[i] = std::min(eased[i], most);
-            }
-            all[k] = free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+    Row shares(const PoolRows& pool, double c, const Row& downhill) const {
+        if (pool.sizes == 0) return Row(pool.places.size());
+        Row weight = pool.weight;
+        if (downhill.size() > 0) weight -= c * downhill;
+        Row share = std::exp(weight - std::max(weight.max(), pool.outside));
+        share[pool.size == 0.0] = 0, share /= share.sum();
+        Row eased = share, free = share;
+        for (std::size_t i = 0; i < share.size(); ++i) {
+            (pool.most[i] < 1 ? free : eased)[i] = 0;
+            eased[i] = std::min(eased[i], pool.most[i]);
         }
+        return free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+    }
+    Shares all_shares(const std::vector<PoolRows>& pools, double c, const Shares& downhill) const {
+        Shares all(pools.size());
+        for (std::size_t k = 0; k < pools.size(); ++k) all[k] = shares(pools[k], c, downhill.empty() ? Row{} : downhill[k]);
         return all;
     }
 
+    // Tells of what changed since the last time: shares of pools that were touched or hold who is not warm yet, as
+    // ceilings rise by age.
     void publish() {
-        if (pools.empty()) return;
-        const Members open = open_members();
-        const Shares share = shares(open, 0, {});
-        for (auto& [id, member] : members) member.share = 0;
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            for (std::size_t i = 0; i < open.size(); ++i) open[i]->share[k] = share[k][i];
+        if (held.pools.empty()) return;
+        bool any_cold = false;
+        std::erase_if(held.warming, [&](Member* member) {
+            const bool cold = warmth(*member) < 1;
+            any_cold |= cold && member->seen.open;
+            if (cold != member->cold) held.queue(*member);
+            held.touch(*member);
+            member->warming = !(warmth(*member) >= 1);
+            return !member->warming;
+        });
+        for (const std::size_t k : held.take_touched()) {
+            const PoolRows rows = rows_of(k);
+            held.publish(rows, shares(rows, 0, {}));
         }
-        for (const auto& [id, m] : members) channel.inbox.push_back(Wish{m.seen, m.share, warmth(m) < 1});
-        channel.inbox.push_back(Cold{std::ranges::any_of(open, [&](auto* m) { return warmth(*m) < 1; })});
-        std::erase_if(members, [](const auto& member) { return member.second.seen.gone(); });
+        const Published done{any_cold, !held.empty()};
+        for (Member* const member : held.take_queued()) tell_of(*member);
+        channel.inbox.push_back(done);
+    }
+    void tell_of(Member& member) {
+        const Standing& seen = member.seen;
+        if (!seen.open) held.leave_pools(member);
+        Wish wish{seen.entry.server, seen.entry.zone, {}, seen.steady, member.cold = warmth(member) < 1, seen.gone()};
+        for (const auto& [pool, place] : member.places) if (place->share != 0) wish.shares.emplace_back(pool, place->share);
+        channel.inbox.push_back(std::move(wish));
+        if (seen.gone()) held.erase(member);
     }
 };
 
@@ -367,7 +394,8 @@
     // Mechanism 4. Only on proof that the first never ran; none while a level is cut or a server cold.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
     struct Entry {
-        Row wanted, sent;  // shares by pool
+        Row shares, wanted, sent;  // by pool; shares: as published
+        bool live = true;          // it is spoken of
         bool out = false, shaky = false, cold = false;  // withdrawn; may be shut out at a proxy that joins
         int known_to = 0;  // the last to join of the proxies that were told that it is out
         ZoneId zone{}; std::size_t subset = 0;
@@ -396,7 +424,10 @@
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { bindings.push_back(note); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
-    void on(const Cold& note) { cold = note.any; }
+    void on(const Published& note) {
+        cold = note.any_cold, stale |= note.any_server;
+        for (auto& [id, entry] : servers) if (entry.live) entry.wanted = entry.shares, entry.wished = desk.now;
+    }
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy}), again = true;
@@ -408,10 +439,12 @@
     }
     void on(const event::MarkApplied& n) { if (ledger.answered(n.proxy, n.mark)) answered = desk.now; }
     void on(const Wish& note) {
-        Entry& entry = servers[note.seen.entry.server];
-        if (entry.sent.size() == 0) entry.sent = 0 * note.shares;
-        entry.wanted = note.shares, entry.wished = desk.now, stale = true;
-        entry.zone = note.seen.entry.zone, entry.shaky |= !note.seen.steady, entry.cold = note.cold;
+        Entry& entry = servers[note.server];
+        if (entry.sent.size() == 0) entry.sent = Row(bindings.size());
+        entry.shares = Row(bindings.size());
+        for (const auto& [pool, share] : note.shares) entry.shares[pool] = share;
+        entry.wanted = entry.shares, entry.wished = desk.now, entry.live = !note.last;
+        entry.zone = note.zone, entry.shaky |= !note.steady, entry.cold = note.cold;
     }
     void on(const event::Outcomes& met) {
         const auto at = servers.find(met.server);
--- a/src/figures.hpp
+++ b/src/figures.hpp
@@ -42,6 +42,13 @@
     return row;
 }
 
+// Some figures out of a row, by their places in it.
+inline Row row_at(const std::vector<std::size_t>& places, const Row& figures) {
+    Row row(places.size());
+    for (std::size_t i = 0; i < places.size(); ++i) row[i] = figures[places[i]];
+    return row;
+}
+
 // For each member the sum of a figure over all of its kind.
 template <class Members>
 Row kind_sums(const Members& members, const Row& figure) {
@@ -59,10 +66,6 @@
            (!home || *home == server.zone);
 }
 
-inline bool open_alike(const Method& one, const Method& other) {
-    return one.only_kinds == other.only_kinds && one.only_zones == other.only_zones;
-}
-
 inline double shortest_soft_deadline(const Terms& terms) {
     Span span = Span::max();
     for (const Method& method : terms.methods) span = std::min(span, method.soft_deadline);
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <optional>
 #include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -32,16 +33,22 @@
 struct Bound { ZoneId zone; double rate; std::size_t subset; };  // one that is; RPCs a second
 // Rank (0: can't wait, 1: learnt, 2: tidies up), size, server, pool (below 0: it leaves or comes back).
 using Change = std::tuple<int, double, ServerId, int>;
-struct Wish { Standing seen; Row shares; bool cold; };  // by pool
+// A server whose figures have changed; shares by pool, those of 0 left out. last: nobody speaks of it any more.
+struct Wish {
+    ServerId server;
+    ZoneId zone;
+    std::vector<std::pair<std::size_t, double>> shares;
+    bool steady = false, cold = false, last = false;
+};
 struct Handover { TableId slice; ServerId server; double weight; };
 struct Binding { TableId table; std::vector<MethodId> methods; std::optional<ZoneId> zone; };
 // RPCs let in, by method; all proxies' load over what was heard of ours; RPCs a second that all told of.
 struct Demand { Row rates; double all_over_ours = 1, told = 0; };
-struct Cold { bool any; };      // is a server still cold?
+struct Published { bool any_cold, any_server; };  // all that changed has been told: is a server cold, is there one?
 struct Levels { Row amounts; };               // by method
 
 using Note = std::variant<Listed, Unlisted, Beat, Step, Pulse, Resubscribe, Standing, Wish, Handover, Binding,
-                          Demand, Levels, Cold, Met, event::Outcomes, event::ProxyJoined, event::ProxyLeft,
+                          Demand, Levels, Published, Met, event::Outcomes, event::ProxyJoined, event::ProxyLeft,
                           event::Arrivals, event::SliceGiven, event::SliceOwner, event::MarkApplied>;
 
 struct Part {
