Update scheduling by what changed: lines by pool, a plan that is kept in order

Cause: each plan walked all servers, each with rows over all pools; who was bound walked all servers for each pool. Change: src/tables.hpp keeps each pool's own lines and each server's, and the plan as an ordered set. A plan looks at pools that were touched, at those whose scale is not settled, and at servers that changed; what is due to be forgotten or said again stands in sets by time. What a bind costs is counted as lines come and go. Sums keep their order.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,6 +17,7 @@
 #include "ledger.hpp"
 #include "memberships.hpp"
 #include "notes.hpp"
+#include "tables.hpp"
 
 namespace micaroad {
 namespace {
@@ -393,26 +394,18 @@
 struct Channel : Part {
     // Mechanism 4. Only on proof that the first never ran; none while a level is cut or a server cold.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
-    struct Entry {
-        Row shares, wanted, sent;  // by pool; shares: as published
-        bool live = true;          // it is spoken of
-        bool out = false, shaky = false, cold = false;  // withdrawn; may be shut out at a proxy that joins
-        int known_to = 0;  // the last to join of the proxies that were told that it is out
-        ZoneId zone{}; std::size_t subset = 0;
-        // Since when it should be, when first it was, last heard of; part of the latest tries.
-        Instant due{}, left{}, wished{}; double ok = 1;
-    };
     // Of one zone or all; servers and shares by pool, RPCs a second of its proxies; jammed if fit is below 0.
     struct Subset { std::optional<ZoneId> zone; Row dealt, held; double rate, fit; std::set<ProxyId> all; };
     Desk& desk;
-    std::vector<Binding> bindings{};  // by pool
-    std::map<ServerId, Entry> servers{};
+    Tables tables{};
     std::vector<Subset> subsets{};
+    Row all_held{};  // by pool, of all subsets
+    mutable std::map<std::pair<std::size_t, ZoneId>, double> least_held{};  // parts of a pool, as load() found them
     std::map<ProxyId, Bound> bound{};
     std::map<std::tuple<bool, double, ProxyId>, Loose> unbound{};  // in the order of binding
-    std::deque<Handover> handovers{}; std::deque<Change> plan{};
-    int pressed = 0;  // withdrawals in it, the first due since oldest
-    bool stale = false, again = false, cold = false, braked = false, sent_never = false;
+    std::deque<Handover> handovers{};
+    int pressed = 0, pools_in_use = 0;  // withdrawals in the plan, the first due since oldest
+    bool stale = false, fresh = false, again = false, cold = false, braked = false, sent_never = false;
     Row wanted_levels = Row(1.0, desk.terms.methods.size());
     // Where proxies do not try so by themselves, the first level tells them.
     Row sent_levels = Row(desk.terms.further_tries == kFurther ? 1.0 : 0.0, desk.terms.methods.size());
@@ -422,12 +415,9 @@
     double allowance = 0; int joinings = 0;  // lines that learnt changes may use; how many joined
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
-    void on(const Binding& note) { bindings.push_back(note); }
+    void on(const Binding& note) { tables.pools.push_back({note}); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
-    void on(const Published& note) {
-        cold = note.any_cold, stale |= note.any_server;
-        for (auto& [id, entry] : servers) if (entry.live) entry.wanted = entry.shares, entry.wished = desk.now;
-    }
+    void on(const Published& note) { cold = note.any_cold, stale |= note.any_server, fresh |= note.any_server; }
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy}), again = true;
@@ -439,16 +429,16 @@
     }
     void on(const event::MarkApplied& n) { if (ledger.answered(n.proxy, n.mark)) answered = desk.now; }
     void on(const Wish& note) {
-        Entry& entry = servers[note.server];
-        if (entry.sent.size() == 0) entry.sent = Row(bindings.size());
-        entry.shares = Row(bindings.size());
-        for (const auto& [pool, share] : note.shares) entry.shares[pool] = share;
-        entry.wanted = entry.shares, entry.wished = desk.now, entry.live = !note.last;
-        entry.zone = note.zone, entry.shaky |= !note.steady, entry.cold = note.cold;
+        Entry& entry = tables.entry(note.server);
+        tables.recount(entry, [&] { entry.shaky |= !note.steady; });
+        tables.set_shares(entry, note.shares), tables.set_live(entry, !note.last, desk.now);
+        tables.set_cold(entry, note.cold), entry.zone = note.zone;
     }
     void on(const event::Outcomes& met) {
-        const auto at = servers.find(met.server);
-        if (at != servers.end()) at->second.ok = 1 - met.bad / met.tries, stale |= cold;
+        const auto at = tables.servers.find(met.server);
+        if (at == tables.servers.end()) return;
+        at->second.ok = 1 - met.bad / met.tries, stale |= cold;
+        Tables::put(tables.failing, at->second, at->second.ok < kJammed);
     }
     void on(const Pulse&) {
         const double span = seconds(desk.now - std::exchange(counted, desk.now));
@@ -489,46 +479,67 @@
     // Mechanism 7. Guards against a channel that can't carry tables of all servers, nor each withdrawal, to
     // all proxies in time: servers are dealt out, a proxy holds one subset. It could harm where few are left
     // in one: proxies move on then.
-    void deal_out() {
-        if (bound.empty() && std::ranges::all_of(servers, [](auto& s) { return s.second.sent.sum() == 0; })) {
+    void deal_out(const std::set<std::size_t>& pools) {
+        if (bound.empty() && tables.unsent.size() == tables.servers.size()) {
             double table = 0;
-            for (const auto& [id, entry] : servers) for (double share : entry.wanted) table += share > 0;
+            for (const auto& pool : tables.pools) for (const auto& [id, line] : pool.lines) table += line.wanted > 0;
             const double proxies = 1.0 * std::max(1, desk.terms.proxies) / desk.terms.planners;
             const double in_time = kBindGrace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
             const double most = in_time / proxies - head - 2.0 * sent_levels.size();
-            const double fit = std::ceil(table / std::max(most, kLeastSubset * bindings.size()));
-            const double parts = std::min(fit, kTables * proxies / std::max(1.0, 1.0 * bindings.size()));
+            const double fit = std::ceil(table / std::max(most, kLeastSubset * tables.pools.size()));
+            const double parts = std::min(fit, kTables * proxies / std::max(1.0, 1.0 * tables.pools.size()));
             const double zones = desk.terms.zones > 1 && parts >= desk.terms.zones ? desk.terms.zones : 1;
             subsets.assign(static_cast<std::size_t>(std::max(1.0, std::ceil(parts / zones) * zones)), {});
             for (int p = 0; zones > 1 && p < std::ssize(subsets); ++p) subsets[p].zone = {p % int(zones)};
+            for (Subset& subset : subsets) subset.dealt = subset.held = Row(tables.pools.size());
+            all_held = Row(tables.pools.size()), tables.set_subsets(subsets.size());
         }
-        const auto uses = [](Row share) { return share[share > 0.0] = 1, share; };
-        for (Subset& subset : subsets) subset.dealt = subset.held = Row(bindings.size()), subset.fit = 0;
-        for (auto& [id, e] : servers) if (e.sent.sum() > 0) {
-            subsets[e.subset].held += e.wanted, subsets[e.subset].dealt += uses(e.wanted);
-            if (!e.cold) subsets[e.subset].fit += (e.ok - kJammed) * e.wanted.sum();
-        }
-        for (auto& [id, entry] : servers) {
-            if (entry.sent.sum() > 0 || entry.wanted.sum() == 0) continue;
+        judge_subsets();
+        if (subsets.size() == 1) return;
+        for (const std::size_t k : pools) add_up(k);
+        least_held.clear();
+        std::vector<Entry*> dealt;  // once more in each plan, until a line of it is sent
+        for (Entry* const entry : tables.unsent) if (entry->wanted() > 0) {
             const auto like = [&](const Subset& s) {
-                const bool away = s.zone.value_or(entry.zone) != entry.zone;
-                return std::pair(away, (s.dealt * uses(entry.wanted)).sum());
+                double sum = 0;
+                for (const auto& [k, line] : entry->lines) sum += line->wanted > 0 ? s.dealt[k] : 0;
+                return std::pair(s.zone.value_or(entry->zone) != entry->zone, sum);
             };
-            const auto fewest = std::ranges::min_element(subsets, {}, like);
-            entry.subset = fewest - subsets.begin(), fewest->dealt += uses(entry.wanted);
+            entry->subset = std::ranges::min_element(subsets, {}, like) - subsets.begin();
+            count_dealt(*entry, 1), dealt.push_back(entry);
+        }
+        for (Entry* const entry : dealt) count_dealt(*entry, -1);
+    }
+    void count_dealt(const Entry& entry, double sign) {
+        for (const auto& [k, line] : entry.lines) subsets[entry.subset].dealt[k] += line->wanted > 0 ? sign : 0;
+    }
+    void add_up(std::size_t k) {
+        for (Subset& subset : subsets) subset.dealt[k] = subset.held[k] = 0;
+        for (const auto& [id, line] : tables.pools[k].lines) if (line.entry->sent() > 0) {
+            Subset& its = subsets[line.entry->subset];
+            its.held[k] += line.wanted, its.dealt[k] += line.wanted > 0;
+        }
+        all_held[k] = 0;
+        for (const Subset& subset : subsets) all_held[k] += subset.held[k];
+    }
+    void judge_subsets() {  // none is jammed where nobody fails
+        for (Subset& subset : subsets) subset.fit = 0;
+        if (tables.cold.empty() || tables.failing.empty()) return;
+        for (const auto& [id, e] : tables.servers) if (!e.cold && e.sent() > 0) {
+            subsets[e.subset].fit += (e.ok - kJammed) * (fresh ? e.share() : e.wanted());
         }
     }
     TableId table_of(std::size_t pool, std::size_t subset) const {
-        return {bindings[pool].table.value + static_cast<int>(subset * bindings.size())};
+        return {binding(pool).table.value + static_cast<int>(subset * tables.pools.size())};
     }
-    bool meant_for(std::size_t pool, ZoneId zone) const { return bindings[pool].zone.value_or(zone) == zone; }
+    const Binding& binding(std::size_t pool) const { return tables.pools[pool].binding; }
+    bool meant_for(std::size_t pool, ZoneId zone) const { return binding(pool).zone.value_or(zone) == zone; }
     // RPCs of a subset's proxies, and of one more, for each part of the pool that it has least of.
     double load(std::size_t subset, ZoneId zone, double more) const {
-        double least = 1;
-        for (std::size_t k = 0; k < bindings.size(); ++k) if (meant_for(k, zone)) {
-            double all = 0;
-            for (const Subset& other : subsets) all += other.held[k];
-            if (all > 0) least = std::min(least, subsets[subset].held[k] / all);
+        const auto [at, added] = least_held.try_emplace({subset, zone}, 1);
+        double& least = at->second;
+        for (std::size_t k = 0; added && subsets.size() > 1 && k < all_held.size(); ++k) {
+            if (meant_for(k, zone) && all_held[k] > 0) least = std::min(least, subsets[subset].held[k] / all_held[k]);
         }
         const bool away = subsets[subset].zone.value_or(zone) != zone;
         return (subsets[subset].rate + more) / std::max(least, 1e-9) * (away ? kAway : 1);
@@ -558,69 +569,118 @@
     }
 
     void make_plan() {
-        plan.clear(), pressed = 0, oldest = desk.now, deal_out();
-        // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
-        // that they have would come to it, however small its part. It costs capacity.
-        for (auto& [id, e] : servers) if (e.cold && subsets[e.subset].fit < 0) e.wanted = 0;
+        const Instant old = desk.now - kForgotten * desk.step;
+        // Gone: nobody speaks of it any more. Its lines go first, or whoever is bound later would get them.
+        for (auto at = tables.departed.begin(); at != tables.departed.end() && at->first < old;) {
+            Entry& entry = *(at++)->second;
+            if (entry.out) entry.sent() == 0 ? tables.forget(entry) : tables.queue(entry);
+        }
+        std::set<std::size_t> pools = tables.take_touched(fresh);
+        for (const std::size_t k : pools) for (auto& [id, line] : tables.pools[k].lines) {
+            if (fresh) line.wanted = line.share;
+        }
+        deal_out(pools);
+        const std::set<std::size_t> jammed = shut_out_jammed();
+        pools.insert(jammed.begin(), jammed.end());
+        const bool none_before = pools_in_use == 0;
+        for (const std::size_t k : pools) scale(tables.pools[k], k);
+        tables.unsettled.insert(jammed.begin(), jammed.end());
+        if (none_before != (pools_in_use == 0)) tables.queue(tables.turning);
+        tables.queue(std::exchange(tables.repeated, {}));
+        while (!tables.withdrawn.empty() && told_by(*tables.withdrawn.begin()->second) <= desk.now) {
+            tables.withdrawn.erase(tables.withdrawn.begin());
+        }
+        for (const auto& [left, entry] : tables.withdrawn) if (again) tables.queue(*entry);
+        for (Entry* const entry : tables.take_queued()) plan_for(*entry, old);
+        pressed = static_cast<int>(tables.leaving.size()), oldest = desk.now;
+        if (pressed > 0) oldest = std::min(oldest, tables.leaving.begin()->first);
+        stale = again = fresh = false;
+    }
+    Instant told_by(const Entry& entry) const { return entry.left + desk.terms.drain_grace + desk.terms.message_longest; }
+
+    // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
+    // that they have would come to it, however small its part. It costs capacity. The pools that have one.
+    std::set<std::size_t> shut_out_jammed() {
+        std::set<std::size_t> pools;
+        for (Entry* const entry : tables.cold) if (subsets[entry->subset].fit < 0 && entry->wanted() > 0) {
+            for (const auto& [k, line] : entry->lines) line->wanted = 0, pools.insert(k);
+            tables.jammed.insert(entry);
+        }
+        return pools;
+    }
+
+    // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
+    void scale(TablePool& pool, std::size_t k) {
+        double had = 0, meant = 0;  // of the servers that stay in use
+        for (const auto& [id, line] : pool.lines) {
+            if (!line.entry->out && line.sent * line.wanted > 0) had += line.sent, meant += line.wanted;
+        }
+        const double by = had > 0 ? had / meant : 1;
+        for (auto& [id, line] : pool.lines) line.wanted *= by, tables.queue(*line.entry);
+        pools_in_use += (had > 0) - (std::exchange(pool.had, had) > 0);
+        by == 1 ? (void)tables.unsettled.erase(k) : (void)tables.unsettled.insert(k);
+        fresh ? (void)tables.scaled.erase(k) : (void)tables.scaled.insert(k);
+    }
+
+    void plan_for(Entry& entry, Instant old) {
         const int newest = unbound.empty() ? 0 : joinings;  // of those that are not bound
-        Row had(bindings.size()), meant(bindings.size());  // of the servers that stay in use, by pool
-        for (const auto& [id, entry] : servers) for (int k = 0; k < std::ssize(bindings) && !entry.out; ++k) {
-            if (entry.sent[k] * entry.wanted[k] > 0) had[k] += entry.sent[k], meant[k] += entry.wanted[k];
+        const double all = entry.wanted();
+        const bool out = all == 0;
+        const Instant told = told_by(entry);
+        const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
+        tables.leaving.erase({entry.due, &entry});
+        if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
+        if (out && !entry.out) tables.leaving.emplace(entry.due, &entry);
+        if (repeat) tables.repeated.insert(&entry);
+        if (out != entry.out || repeat) {
+            // The longest due first; then, for who has just joined, the latest; then who is back.
+            const double due = seconds((repeat ? told : entry.due).time_since_epoch());
+            const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + all);
+            return tables.plan_turn(entry, out || pools_in_use == 0 ? 0 : 1, size);
         }
-        // Gone: nobody speaks of it any more. Its lines go first, or whoever is bound later would get them.
-        const Instant old = desk.now - kForgotten * desk.step;
-        const auto over = [old](const Entry& entry) { return entry.out && entry.wished < old; };
-        std::erase_if(servers, [&](auto& at) { return over(at.second) && at.second.sent.sum() == 0; });
-        for (auto& [server, entry] : servers) {
-            // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
-            for (std::size_t k = 0; k < had.size(); ++k) if (had[k] > 0) entry.wanted[k] *= had[k] / meant[k];
-            const bool out = entry.wanted.sum() == 0;
-            const Instant told = entry.left + desk.terms.drain_grace + desk.terms.message_longest;
-            const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
-            if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
-            if (out != entry.out || repeat) {
-                // The longest due first; then, for who has just joined, the latest; then who is back.
-                const double due = seconds((repeat ? told : entry.due).time_since_epoch());
-                const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
-                plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
-                if (out && !repeat) ++pressed, oldest = std::min(oldest, entry.due);
-                continue;
-            }
-            for (std::size_t k = 0; k < bindings.size(); ++k) {
-                const double wanted = entry.wanted[k], sent = entry.sent[k], size = std::abs(wanted - sent);
-                if (size <= (wanted > 0 && sent > 0 ? kWorthSending * sent : 0)) continue;
-                // Guards against lines that never find room and stay for good: at last before all learnt.
-                const bool first = over(entry);
-                const int rank = out && !first ? 2 : 1;
-                plan.push_back({rank, first ? -kBeforeAll : -size, server, static_cast<int>(k)});
-            }
+        tables.drop_turn(entry);
+        // Guards against lines that never find room and stay for good: at last before all learnt.
+        const bool first = entry.out && !entry.live && entry.wished < old;
+        const int rank = out && !first ? 2 : 1;
+        for (const auto& [k, line] : entry.lines) {
+            const double wanted = line->wanted, sent = line->sent, size = std::abs(wanted - sent);
+            const Change change{rank, first ? -kBeforeAll : -size, *entry.id, static_cast<int>(k)};
+            size <= (wanted > 0 && sent > 0 ? kWorthSending * sent : 0)
+                ? tables.drop(line->planned, *entry.id, static_cast<int>(k))
+                : tables.plan_at(line->planned, change);
         }
-        std::sort(plan.begin(), plan.end()), stale = again = false;
+        tables.drop_empty_lines(entry);
     }
 
     // Most lines that a change costs each bound proxy; `only`: one pool, or below 0 its way out or back.
     double lines_of(const Entry& entry, int only) const {
-        const bool out = entry.wanted.sum() == 0, said = out && entry.out;
+        const bool out = entry.wanted() == 0, said = out && entry.out;
         if (only >= 0) return 1.0 + (entry.shaky && !out);
-        double lines = !said && (!out || entry.sent.sum() > 0);  // who holds no line of it hears nothing
-        if (!out || said) for (auto k = bindings.size(); k-- > 0;) lines += entry.wanted[k] != entry.sent[k];
+        double lines = !said && (!out || entry.sent() > 0);  // who holds no line of it hears nothing
+        if (!out || said) for (const auto& [k, line] : entry.lines) lines += line->wanted != line->sent;
         return lines;
     }
 
-    void carry_out(const ServerId& server, int only) {
-        Entry& entry = servers.at(server);
-        const bool out = entry.wanted.sum() == 0, said = out && entry.out;
-        for (int k = 0; k < std::ssize(bindings); ++k) {
-            // Said again, a withdrawal is to reach none that heard it: their tables drop the line first.
-            const bool meant = only < 0 ? !out || said : k == only;
-            if (!meant || entry.wanted[k] == entry.sent[k]) continue;
-            desk.orders.push_back(order::SetLine{table_of(k, entry.subset), server, entry.wanted[k]});
-            entry.sent[k] = entry.wanted[k];
-        }
+    void carry_out(Entry& entry, int only) {
+        const bool out = entry.wanted() == 0, said = out && entry.out;
+        tables.recount(entry, [&] {
+            for (const auto& [k, line] : entry.lines) {
+                // Said again, a withdrawal is to reach none that heard it: their tables drop the line first.
+                const bool meant = only < 0 ? !out || said : static_cast<int>(k) == only;
+                if (!meant || line->wanted == line->sent) continue;
+                desk.orders.push_back(order::SetLine{table_of(k, entry.subset), *entry.id, line->wanted});
+                line->sent = line->wanted;
+            }
+            if (only < 0) entry.out = out, entry.shaky = true;
+        });
+        tables.touch(entry), Tables::put(tables.unsent, entry, entry.sent() == 0);
         if (only >= 0) return;
-        desk.orders.push_back(order::Withdraw{server, entry.out = out});
-        entry.shaky = true, entry.known_to = joinings;
-        if (!said) entry.left = desk.now;
+        desk.orders.push_back(order::Withdraw{*entry.id, out});
+        entry.known_to = joinings;
+        tables.leaving.erase({entry.due, &entry});
+        if (said) return;
+        tables.withdrawn.erase({std::exchange(entry.left, desk.now), &entry});
+        if (out) tables.withdrawn.emplace(entry.left, &entry);
     }
 
     void send_changes() {
@@ -660,7 +720,7 @@
         const bool worth = turned || std::abs(levels - sent_levels).max() > kLevelWorthSending;
         if (const double all = 1.0 * levels.size(); worth && fits(rank, all, -1, joinings)) {
             const FurtherTry how = never ? FurtherTry::never : kFurther;
-            for (std::size_t k = 0; k < bindings.size(); ++k) for (const MethodId m : bindings[k].methods) {
+            for (std::size_t k = 0; k < tables.pools.size(); ++k) for (const MethodId m : binding(k).methods) {
                 for (std::size_t p = 0; p < subsets.size(); ++p) {
                     desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
@@ -673,17 +733,17 @@
             const auto& [slice, server, weight] = handovers.front();
             desk.orders.push_back(order::SetLine{slice, server, weight});
         }
-        for (; !plan.empty(); plan.pop_front()) {
-            const auto& [rank, size, server, pool] = plan.front();
-            const Entry& entry = servers.at(server);
-            const bool said = entry.out && entry.wanted.sum() == 0;
+        while (!tables.plan.empty()) {
+            const auto [rank, size, server, pool] = *tables.plan.begin();
+            Entry& entry = tables.servers.at(server);
+            const bool said = entry.out && entry.wanted() == 0;
             const int since = pool >= 0 ? joinings : said ? entry.known_to : 0;
             const double more = lines_of(entry, pool);
             if (!fits(rank, more, static_cast<int>(entry.subset), since)) break;
             (rank == 0 ? pressing : learnt) = true;
             if (rank == 0) pressed = std::max(0, pressed - 1);
             lines[entry.subset] += more, loose += after(since), first = std::min(first, since);
-            told.push_back(since), carry_out(server, pool);
+            told.push_back(since), tables.take_first(), carry_out(entry, pool);
         }
         if (!pressing && !learnt) return;
         std::ranges::sort(told);
@@ -705,13 +765,10 @@
     double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {  // what it cost
         double lines = 0;
         std::vector<Order> orders;
-        for (std::size_t k = 0; k < bindings.size(); ++k) {
+        for (std::size_t k = 0; k < tables.pools.size(); ++k) {
             if (!meant_for(k, zone)) continue;
-            // Who is out is shut out with its line; who may be shut out there is let back.
-            for (const auto& [id, entry] : servers) {
-                if (entry.subset == subset && entry.sent[k] > 0) lines += entry.out || entry.shaky ? 2 : 1;
-            }
-            orders.push_back(order::Bind{table_of(k, subset), bindings[k].methods, proxy});
+            lines += tables.pools[k].bind_lines[subset];
+            orders.push_back(order::Bind{table_of(k, subset), binding(k).methods, proxy});
         }
         const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
         if (lines == 0 || cost > most) return 0;
