--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -86,28 +86,12 @@
     using Shares = std::vector<Row>;  // by pool that has servers, each a row of its own
 
     Desk& desk; Part& channel;
-    Memberships held{};
+    Memberships held{desk.terms};
     bool changed = false; Demand demand{};
     // Seconds; RPCs a second from all proxies, and by size; sizes of all open servers, not long ago.
     double limit = 0, total = 0, usual = 0, size_most = 0;
 
     Weigher(Desk& desk, Part& channel) : desk(desk), channel(channel) {
-        std::map<std::tuple<std::vector<KindId>, std::vector<ZoneId>, std::optional<ZoneId>>, std::size_t> known;
-        for (int m = 0; m < std::ssize(desk.terms.methods) && desk.terms.slices == 0; ++m) {
-            const Method& method = desk.terms.methods[m];
-            for (int zone = 0; zone < (method.own_zone_only ? desk.terms.zones : 1); ++zone) {
-                const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
-                const TableId table{static_cast<int>(held.pools.size()) + 1};
-                const auto [pool, added] = known.try_emplace({method.only_kinds, method.only_zones, home},
-                                                             held.pools.size());
-                if (added) {
-                    WeighedPool& fresh = held.pools.emplace_back();
-                    fresh.binding.table = table, fresh.binding.zone = home, fresh.like = method;
-                }
-                held.pools[pool->second].binding.methods.push_back(MethodId{m});
-            }
-        }
-        held.index_pools();
         for (const WeighedPool& pool : held.pools) channel.inbox.push_back(pool.binding);
     }
 
@@ -145,15 +129,12 @@
         usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
         std::vector<PoolRows> pools;
-        for (std::size_t k = 0; k < held.pools.size(); ++k) if (!held.pools[k].places.empty()) pools.push_back(rows_of(k));
+        for (const std::size_t k : held.peopled()) pools.push_back(rows_of(k));
         const auto part = [&](const PoolRows& pool) { return held.pools[pool.pool].part; };
         const auto ahead = [&](const Shares& to, TailTerm tail) {
             Row at = rate;
             for (std::size_t k = 0; k < pools.size(); ++k) {
-                const double its = ours * part(pools[k]);
-                for (std::size_t i = 0; i < to[k].size(); ++i) {
-                    at[pools[k].index[i]] += its * (to[k][i] - pools[k].share[i]);
-                }
+                add_moves(pools[k], to[k], ours * part(pools[k]), at);
             }
             at[at < 0.0] = 0;
             return look_ahead(at, capacity, tail);
@@ -166,24 +147,22 @@
         Shares downhill = stay;  // how far the weights go in a whole step
         const double scale = kStepScale * std::ssize(open) / std::max(here.cost, 1e-9) * ours;
         for (std::size_t k = 0; k < pools.size(); ++k) {
-            if (stay[k].size() == 0) continue;
             const Row slope = row_at(pools[k].index, here.slope);
             downhill[k] *= scale * part(pools[k]) * (slope - (stay[k] * slope).sum());
         }
         const auto room = [&](double c) {
             const Shares share = all_shares(pools, c, downhill);
-            double moved = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) {
-                if (share[k].size() > 0) moved += std::pow(share[k] - stay[k], 2.0).sum();
-            }
-            return kMostMove - std::sqrt(moved);
+            double sum = 0;
+            for (std::size_t k = 0; k < pools.size(); ++k) sum += moved(stay[k], share[k]);
+            return kMostMove - std::sqrt(sum);
         };
         const auto cost = [&](double c) { return ahead(all_shares(pools, c, downhill), tail).cost; };
         double c = room(1) >= 0 ? 1 : crossing(0, 1, 0, room);
         // A step within the bound can still overshoot what the model says is best along it: halved until not.
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
-        if (here.cost - best > kLeastGain * here.cost) move(open, pools, c, downhill);
+        const auto least = [](const Member& m) { return std::log(m.seen.entry.size) + kLeast; };
+        if (here.cost - best > kLeastGain * here.cost) held.move(open, pools, c, downhill, least);
         publish();
     }
 
@@ -197,18 +176,6 @@
     // Of a listed share: many must not cost much, one must be tried. More comes by chance once a day.
     static constexpr double kTrial = 0.1, kDeviations = 4;
 
-    void move(const std::vector<Member*>& open, const std::vector<PoolRows>& pools, double c, const Shares& downhill) {
-        const auto least = [](const Member& member) { return std::log(member.seen.entry.size) + kLeast; };
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            for (std::size_t i = 0; i < pools[k].places.size(); ++i) {
-                Place& place = *pools[k].places[i];
-                place.weight = std::max(place.weight - c * downhill[k][i], least(*place.member));
-            }
-        }
-        for (Member* const member : open) held.set_entering(*member, std::max(member->entering, least(*member)));
-        held.touch_all();
-    }
-
     // Mechanism 1. Guards against a server that fails fast (looks idle), hangs or can't be reached: a failed
     // try is an answer at twice the tail's limit. It could harm where few RPCs come: hence the doubts.
     bool weigh_evidence(const std::vector<Member*>& open, Row& rate, Row& answer) {
@@ -248,64 +215,34 @@
     }
 
     PoolRows rows_of(std::size_t pool) {
-        PoolRows rows = held.rows_of(pool);
-        rows.most = Row(rows.places.size());
-        for (std::size_t i = 0; i < rows.places.size(); ++i) {
-            rows.most[i] = ceiling(*rows.places[i]->member, rows.size[i] / rows.sizes);
-        }
-        return rows;
-    }
-
-    // Softmax over the servers that a pool is open to, after a part of a step; none above its ceiling while
-    // others have room.
-    Row shares(const PoolRows& pool, double c, const Row& downhill) const {
-        if (pool.sizes == 0) return Row(pool.places.size());
-        Row weight = pool.weight;
-        if (downhill.size() > 0) weight -= c * downhill;
-        Row share = std::exp(weight - std::max(weight.max(), pool.outside));
-        share[pool.size == 0.0] = 0, share /= share.sum();
-        Row eased = share, free = share;
-        for (std::size_t i = 0; i < share.size(); ++i) {
-            (pool.most[i] < 1 ? free : eased)[i] = 0;
-            eased[i] = std::min(eased[i], pool.most[i]);
-        }
-        return free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+        return held.rows_of(pool, [this](const Member& m, double listed) { return ceiling(m, listed); });
     }
+    // After a part of a step.
     Shares all_shares(const std::vector<PoolRows>& pools, double c, const Shares& downhill) const {
         Shares all(pools.size());
-        for (std::size_t k = 0; k < pools.size(); ++k) all[k] = shares(pools[k], c, downhill.empty() ? Row{} : downhill[k]);
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            const Row& weight = pools[k].weight;
+            all[k] = capped_softmax(pools[k], downhill.empty() ? weight : Row(weight - c * downhill[k]));
+        }
         return all;
     }
 
-    // Tells of what changed since the last time: shares of pools that were touched or hold who is not warm yet, as
-    // ceilings rise by age.
+    // Tells of what changed since the last time: shares of pools that were touched or hold who is not warm
+    // yet, as ceilings rise by age.
     void publish() {
         if (held.pools.empty()) return;
-        bool any_cold = false;
-        std::erase_if(held.warming, [&](Member* member) {
-            const bool cold = warmth(*member) < 1;
-            any_cold |= cold && member->seen.open;
-            if (cold != member->cold) held.queue(*member);
-            held.touch(*member);
-            member->warming = !(warmth(*member) >= 1);
-            return !member->warming;
-        });
+        const bool any_cold = held.age([this](const Member& member) { return warmth(member); });
         for (const std::size_t k : held.take_touched()) {
             const PoolRows rows = rows_of(k);
-            held.publish(rows, shares(rows, 0, {}));
+            held.publish(rows, capped_softmax(rows, rows.weight));
         }
         const Published done{any_cold, !held.empty()};
-        for (Member* const member : held.take_queued()) tell_of(*member);
+        for (Member* const member : held.take_queued()) {
+            member->cold = warmth(*member) < 1;
+            channel.inbox.push_back(held.take_wish(*member));
+        }
         channel.inbox.push_back(done);
     }
-    void tell_of(Member& member) {
-        const Standing& seen = member.seen;
-        if (!seen.open) held.leave_pools(member);
-        Wish wish{seen.entry.server, seen.entry.zone, {}, seen.steady, member.cold = warmth(member) < 1, seen.gone()};
-        for (const auto& [pool, place] : member.places) if (place->share != 0) wish.shares.emplace_back(pool, place->share);
-        channel.inbox.push_back(std::move(wish));
-        if (seen.gone()) held.erase(member);
-    }
 };
 
 // ---- Levels ----------------------------------------------------------------------------------------------
@@ -394,17 +331,14 @@
 struct Channel : Part {
     // Mechanism 4. Only on proof that the first never ran; none while a level is cut or a server cold.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
-    // Of one zone or all; servers and shares by pool, RPCs a second of its proxies; jammed if fit is below 0.
-    struct Subset { std::optional<ZoneId> zone; Row dealt, held; double rate, fit; std::set<ProxyId> all; };
     Desk& desk;
     Tables tables{};
-    std::vector<Subset> subsets{};
-    Row all_held{};  // by pool, of all subsets
-    mutable std::map<std::pair<std::size_t, ZoneId>, double> least_held{};  // parts of a pool, as load() found them
-    std::map<ProxyId, Bound> bound{};
+    std::vector<Subset>& subsets = tables.subsets;
+    std::map<ProxyId, Bound>& bound = tables.bound;
     std::map<std::tuple<bool, double, ProxyId>, Loose> unbound{};  // in the order of binding
     std::deque<Handover> handovers{};
     int pressed = 0, pools_in_use = 0;  // withdrawals in the plan, the first due since oldest
+    // A plan is to be made; shares were published since the last.
     bool stale = false, fresh = false, again = false, cold = false, braked = false, sent_never = false;
     Row wanted_levels = Row(1.0, desk.terms.methods.size());
     // Where proxies do not try so by themselves, the first level tells them.
@@ -417,7 +351,10 @@
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { tables.pools.push_back({note}); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
-    void on(const Published& note) { cold = note.any_cold, stale |= note.any_server, fresh |= note.any_server; }
+    void on(const Published& note) {
+        cold = note.any_cold;
+        if (note.any_server) stale = fresh = true;
+    }
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy}), again = true;
@@ -425,7 +362,7 @@
     }
     void on(const event::ProxyLeft& note) {
         std::erase_if(unbound, [&](auto& at) { return std::get<ProxyId>(at.first) == note.proxy; });
-        release(note.proxy), ledger.left(note.proxy);
+        tables.release(note.proxy), ledger.left(note.proxy);
     }
     void on(const event::MarkApplied& n) { if (ledger.answered(n.proxy, n.mark)) answered = desk.now; }
     void on(const Wish& note) {
@@ -482,22 +419,21 @@
     void deal_out(const std::set<std::size_t>& pools) {
         if (bound.empty() && tables.unsent.size() == tables.servers.size()) {
             double table = 0;
-            for (const auto& pool : tables.pools) for (const auto& [id, line] : pool.lines) table += line.wanted > 0;
+            for (const TablePool& pool : tables.pools) {
+                for (const auto& [id, line] : pool.lines) table += line.wanted > 0;
+            }
             const double proxies = 1.0 * std::max(1, desk.terms.proxies) / desk.terms.planners;
             const double in_time = kBindGrace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
             const double most = in_time / proxies - head - 2.0 * sent_levels.size();
             const double fit = std::ceil(table / std::max(most, kLeastSubset * tables.pools.size()));
             const double parts = std::min(fit, kTables * proxies / std::max(1.0, 1.0 * tables.pools.size()));
             const double zones = desk.terms.zones > 1 && parts >= desk.terms.zones ? desk.terms.zones : 1;
-            subsets.assign(static_cast<std::size_t>(std::max(1.0, std::ceil(parts / zones) * zones)), {});
-            for (int p = 0; zones > 1 && p < std::ssize(subsets); ++p) subsets[p].zone = {p % int(zones)};
-            for (Subset& subset : subsets) subset.dealt = subset.held = Row(tables.pools.size());
-            all_held = Row(tables.pools.size()), tables.set_subsets(subsets.size());
+            const double number = std::max(1.0, std::ceil(parts / zones) * zones);
+            tables.set_subsets(static_cast<std::size_t>(number), static_cast<int>(zones));
         }
         judge_subsets();
         if (subsets.size() == 1) return;
-        for (const std::size_t k : pools) add_up(k);
-        least_held.clear();
+        tables.add_up(pools);
         std::vector<Entry*> dealt;  // once more in each plan, until a line of it is sent
         for (Entry* const entry : tables.unsent) if (entry->wanted() > 0) {
             const auto like = [&](const Subset& s) {
@@ -506,21 +442,9 @@
                 return std::pair(s.zone.value_or(entry->zone) != entry->zone, sum);
             };
             entry->subset = std::ranges::min_element(subsets, {}, like) - subsets.begin();
-            count_dealt(*entry, 1), dealt.push_back(entry);
+            tables.count_dealt(*entry, 1), dealt.push_back(entry);
         }
-        for (Entry* const entry : dealt) count_dealt(*entry, -1);
-    }
-    void count_dealt(const Entry& entry, double sign) {
-        for (const auto& [k, line] : entry.lines) subsets[entry.subset].dealt[k] += line->wanted > 0 ? sign : 0;
-    }
-    void add_up(std::size_t k) {
-        for (Subset& subset : subsets) subset.dealt[k] = subset.held[k] = 0;
-        for (const auto& [id, line] : tables.pools[k].lines) if (line.entry->sent() > 0) {
-            Subset& its = subsets[line.entry->subset];
-            its.held[k] += line.wanted, its.dealt[k] += line.wanted > 0;
-        }
-        all_held[k] = 0;
-        for (const Subset& subset : subsets) all_held[k] += subset.held[k];
+        for (Entry* const entry : dealt) tables.count_dealt(*entry, -1);
     }
     void judge_subsets() {  // none is jammed where nobody fails
         for (Subset& subset : subsets) subset.fit = 0;
@@ -535,24 +459,15 @@
     const Binding& binding(std::size_t pool) const { return tables.pools[pool].binding; }
     bool meant_for(std::size_t pool, ZoneId zone) const { return binding(pool).zone.value_or(zone) == zone; }
     // RPCs of a subset's proxies, and of one more, for each part of the pool that it has least of.
-    double load(std::size_t subset, ZoneId zone, double more) const {
-        const auto [at, added] = least_held.try_emplace({subset, zone}, 1);
-        double& least = at->second;
-        for (std::size_t k = 0; added && subsets.size() > 1 && k < all_held.size(); ++k) {
-            if (meant_for(k, zone) && all_held[k] > 0) least = std::min(least, subsets[subset].held[k] / all_held[k]);
-        }
+    double load(std::size_t subset, ZoneId zone, double more) {
+        const double least = tables.held_part(subset, zone);
         const bool away = subsets[subset].zone.value_or(zone) != zone;
         return (subsets[subset].rate + more) / std::max(least, 1e-9) * (away ? kAway : 1);
     }
-    std::size_t lightest(ZoneId zone, double more) const {
+    std::size_t lightest(ZoneId zone, double more) {
         const auto its = [&](std::size_t p) { return load(p, zone, more); };
         return std::ranges::min(std::views::iota(std::size_t{0}, subsets.size()), {}, its);
     }
-    void release(ProxyId proxy) {
-        const auto at = bound.extract(proxy);
-        Subset* const its = at ? &subsets[at.mapped().subset] : nullptr;
-        if (its) its->all.erase(proxy), its->rate -= at.mapped().rate;
-    }
     // One proxy after the other moves from the most loaded subset.
     void even_out() {
         if (!unbound.empty() || desk.terms.messages_most > 0) return;
@@ -587,16 +502,13 @@
         tables.unsettled.insert(jammed.begin(), jammed.end());
         if (none_before != (pools_in_use == 0)) tables.queue(tables.turning);
         tables.queue(std::exchange(tables.repeated, {}));
-        while (!tables.withdrawn.empty() && told_by(*tables.withdrawn.begin()->second) <= desk.now) {
-            tables.withdrawn.erase(tables.withdrawn.begin());
-        }
+        tables.drop_withdrawn(desk.now - desk.terms.drain_grace - desk.terms.message_longest);
         for (const auto& [left, entry] : tables.withdrawn) if (again) tables.queue(*entry);
         for (Entry* const entry : tables.take_queued()) plan_for(*entry, old);
         pressed = static_cast<int>(tables.leaving.size()), oldest = desk.now;
         if (pressed > 0) oldest = std::min(oldest, tables.leaving.begin()->first);
         stale = again = fresh = false;
     }
-    Instant told_by(const Entry& entry) const { return entry.left + desk.terms.drain_grace + desk.terms.message_longest; }
 
     // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
     // that they have would come to it, however small its part. It costs capacity. The pools that have one.
@@ -626,16 +538,15 @@
         const int newest = unbound.empty() ? 0 : joinings;  // of those that are not bound
         const double all = entry.wanted();
         const bool out = all == 0;
-        const Instant told = told_by(entry);
+        const Instant told = entry.left + desk.terms.drain_grace + desk.terms.message_longest;
         const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
-        tables.leaving.erase({entry.due, &entry});
-        if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
-        if (out && !entry.out) tables.leaving.emplace(entry.due, &entry);
+        const Instant due = !out ? Instant{} : entry.due == Instant{} ? desk.now : entry.due;
+        tables.set_leaving(entry, out && !entry.out, due);
         if (repeat) tables.repeated.insert(&entry);
         if (out != entry.out || repeat) {
             // The longest due first; then, for who has just joined, the latest; then who is back.
-            const double due = seconds((repeat ? told : entry.due).time_since_epoch());
-            const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + all);
+            const double since = seconds((repeat ? told : due).time_since_epoch());
+            const double size = repeat ? 1e12 - since : out ? since : -kBeforeAll * (1 + all);
             return tables.plan_turn(entry, out || pools_in_use == 0 ? 0 : 1, size);
         }
         tables.drop_turn(entry);
@@ -677,10 +588,7 @@
         if (only >= 0) return;
         desk.orders.push_back(order::Withdraw{*entry.id, out});
         entry.known_to = joinings;
-        tables.leaving.erase({entry.due, &entry});
-        if (said) return;
-        tables.withdrawn.erase({std::exchange(entry.left, desk.now), &entry});
-        if (out) tables.withdrawn.emplace(entry.left, &entry);
+        if (!said) tables.set_left(entry, desk.now);
     }
 
     void send_changes() {
@@ -720,7 +628,7 @@
         const bool worth = turned || std::abs(levels - sent_levels).max() > kLevelWorthSending;
         if (const double all = 1.0 * levels.size(); worth && fits(rank, all, -1, joinings)) {
             const FurtherTry how = never ? FurtherTry::never : kFurther;
-            for (std::size_t k = 0; k < tables.pools.size(); ++k) for (const MethodId m : binding(k).methods) {
+            for (std::size_t k = 0; k < tables.pools.size(); ++k) for (const auto m : binding(k).methods) {
                 for (std::size_t p = 0; p < subsets.size(); ++p) {
                     desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
@@ -773,8 +681,7 @@
         const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
         if (lines == 0 || cost > most) return 0;
         desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
-        release(proxy), ledger.charge(proxy, cost), bound[proxy] = {zone, rate, subset};
-        subsets[subset].all.insert(proxy), subsets[subset].rate += rate;
+        tables.bind(proxy, {zone, rate, subset}), ledger.charge(proxy, cost);
         return cost;
     }
 
--- a/src/memberships.hpp
+++ b/src/memberships.hpp
@@ -3,9 +3,12 @@
 // set by balance.cpp.
 #pragma once
 
+#include <cmath>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -55,22 +58,51 @@
     std::vector<Place*> places{};
     std::vector<std::size_t> index{};  // among the open servers of a step
     Row weight{}, share{}, size{};     // share: as published; size: 0 where the pool is not open to the server
-    Row most{};                        // the ceiling of its share; filled in by who decides
+    Row most{};                        // the ceiling of its share
     double sizes = 0;                  // the sum of `size`
     double outside = 0;  // the highest weight of an open server without a place here; -infinity: there is none
 };
 
+// Adds to the rate of each open server what comes more where a pool's shares move on from the published ones. `rate`: of
+// the pool's RPCs, a second.
+inline void add_moves(const PoolRows& pool, const Row& shares, double rate, Row& to) {
+    for (std::size_t i = 0; i < shares.size(); ++i) to[pool.index[i]] += rate * (shares[i] - pool.share[i]);
+}
+
+// The square of the distance between two rows.
+inline double moved(const Row& from, const Row& to) { return to.size() > 0 ? std::pow(to - from, 2.0).sum() : 0; }
+
+// Shares by softmax over the weights, none of a server of size 0. What is over a ceiling is dealt among those that have
+// none, by their shares; where all have one, no ceiling holds.
+inline Row capped_softmax(const PoolRows& pool, const Row& weight) {
+    if (pool.sizes == 0) return Row(pool.places.size());
+    Row share = std::exp(weight - std::max(weight.max(), pool.outside));
+    share[pool.size == 0.0] = 0, share /= share.sum();
+    Row eased = share, free = share;
+    for (std::size_t i = 0; i < share.size(); ++i) {
+        (pool.most[i] < 1 ? free : eased)[i] = 0;
+        eased[i] = std::min(eased[i], pool.most[i]);
+    }
+    return free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+}
+
 class Memberships {
  public:
     std::vector<WeighedPool> pools;
-    std::vector<Member*> warming;  // that have a start and were not found warm yet
 
-    // After `pools` is complete.
-    void index_pools() {
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            const std::vector<KindId>& kinds = pools[k].like.only_kinds;
-            if (kinds.empty()) open_to_any_kind_.push_back(k);
-            for (const KindId kind : std::set(kinds.begin(), kinds.end())) by_kind_[kind].push_back(k);
+    // Methods that are open alike share a pool; one that keeps to its own zone has a pool for each.
+    explicit Memberships(const Terms& terms) {
+        using Openness = std::tuple<std::vector<KindId>, std::vector<ZoneId>, std::optional<ZoneId>>;
+        std::map<Openness, std::size_t> known;
+        for (int m = 0; m < std::ssize(terms.methods) && terms.slices == 0; ++m) {
+            const Method& method = terms.methods[m];
+            for (int zone = 0; zone < (method.own_zone_only ? terms.zones : 1); ++zone) {
+                const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
+                const Openness openness{method.only_kinds, method.only_zones, home};
+                const auto [at, added] = known.try_emplace(openness, pools.size());
+                if (added) add_pool(method, home);
+                pools[at->second].binding.methods.push_back(MethodId{m});
+            }
         }
     }
 
@@ -104,15 +136,37 @@
         if (opens) enter(member, entering);
         member.seen = now, member.doubted = doubted;
         if (now.open && (opens || moves)) join_pools(member);
-        if (now.entry.last_start && !std::exchange(member.warming, true)) warming.push_back(&member);
+        if (now.entry.last_start && !std::exchange(member.warming, true)) warming_.push_back(&member);
         if (!same) queue(member), touch(member);
     }
-    // A new weight where it has no place.
-    void set_entering(Member& member, double weight) {
-        if (weight == member.entering) return;
-        by_entering_.erase({member.entering, &member});
-        member.entering = weight, entering_changed_ = true;
-        by_entering_.emplace(weight, &member);
+    // Takes so much of `downhill` off the weights, where they stay above a member's `least`.
+    template <class Least>
+    void move(const std::vector<Member*>& open, const std::vector<PoolRows>& rows, double part,
+              const std::vector<Row>& downhill, Least least) {
+        for (std::size_t k = 0; k < rows.size(); ++k) {
+            for (std::size_t i = 0; i < rows[k].places.size(); ++i) {
+                Place& place = *rows[k].places[i];
+                place.weight = std::max(place.weight - part * downhill[k][i], least(*place.member));
+            }
+        }
+        for (Member* const member : open) set_entering(*member, std::max(member->entering, least(*member)));
+        touch_all();
+    }
+
+    // Touches the pools of members with a start that were not found warm yet. `warmth`: by age, at least 1: warm. True:
+    // an open one is cold.
+    template <class Warmth>
+    bool age(Warmth warmth) {
+        bool any_cold = false;
+        std::erase_if(warming_, [&](Member* member) {
+            const double its = warmth(*member);
+            any_cold |= its < 1 && member->seen.open;
+            if ((its < 1) != member->cold) queue(*member);
+            touch(*member);
+            member->warming = !(its >= 1);
+            return !member->warming;
+        });
+        return any_cold;
     }
 
     // Its figures are to be published again.
@@ -128,9 +182,7 @@
         for (const auto& [pool, place] : member.places) touched_.insert(pool);
     }
     void touch_all() {
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            if (!pools[k].places.empty()) touched_.insert(k);
-        }
+        for (const std::size_t k : peopled()) touched_.insert(k);
     }
     std::set<std::size_t> take_touched() {
         touch_by_outside();
@@ -147,19 +199,30 @@
             if (std::exchange(place.share, shares[i]) != shares[i]) queue(*place.member);
         }
     }
-    // One that has closed leaves its pools.
-    void leave_pools(Member& member) {
-        for (const auto& [pool, place] : member.places) pools[pool].places.erase(member.id);
-        member.places.clear();
-    }
-    // One that left its pools.
-    void erase(Member& member) {
-        if (member.warming) std::erase(warming, &member);
-        members_.erase(members_.find(*member.id));
+    // What there is to tell of one whose figures changed. One that has closed leaves its pools; one that is gone is
+    // forgotten.
+    Wish take_wish(Member& member) {
+        const Standing& seen = member.seen;
+        if (!seen.open) leave_pools(member);
+        Wish wish{seen.entry.server, seen.entry.zone, {}, seen.steady, member.cold, seen.gone()};
+        for (const auto& [pool, place] : member.places) {
+            if (place->share != 0) wish.shares.emplace_back(pool, place->share);
+        }
+        if (wish.last) erase(member);
+        return wish;
     }
 
-    // All rows but `most`.
-    PoolRows rows_of(std::size_t number) {
+    // The pools that hold a server.
+    std::vector<std::size_t> peopled() const {
+        std::vector<std::size_t> peopled;
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            if (!pools[k].places.empty()) peopled.push_back(k);
+        }
+        return peopled;
+    }
+    // `ceiling`: of a member's share, by its part of the sizes.
+    template <class Ceiling>
+    PoolRows rows_of(std::size_t number, Ceiling ceiling) {
         WeighedPool& pool = pools[number];
         PoolRows rows{number};
         rows.places.reserve(pool.places.size());
@@ -176,10 +239,22 @@
         });
         rows.sizes = rows.places.empty() ? 0 : rows.size.sum();
         rows.outside = outside(pool);
+        rows.most = Row(rows.places.size());
+        for (std::size_t i = 0; i < rows.places.size(); ++i) {
+            rows.most[i] = ceiling(*rows.places[i]->member, rows.size[i] / rows.sizes);
+        }
         return rows;
     }
 
  private:
+    void add_pool(const Method& like, std::optional<ZoneId> home) {
+        const std::size_t number = pools.size();
+        WeighedPool& pool = pools.emplace_back();
+        pool.binding.table = {static_cast<int>(number) + 1}, pool.binding.zone = home, pool.like = like;
+        if (like.only_kinds.empty()) open_to_any_kind_.push_back(number);
+        for (const KindId kind : std::set(like.only_kinds.begin(), like.only_kinds.end()))
+            by_kind_[kind].push_back(number);
+    }
     void enter(Member& member, double weight) {
         member.entering = weight, entering_changed_ = true;
         by_entering_.emplace(weight, &member);
@@ -198,6 +273,22 @@
         std::sort(member.places.begin(), member.places.end());
     }
 
+    // A new weight where it has no place.
+    void set_entering(Member& member, double weight) {
+        if (weight == member.entering) return;
+        by_entering_.erase({member.entering, &member});
+        member.entering = weight, entering_changed_ = true;
+        by_entering_.emplace(weight, &member);
+    }
+    void leave_pools(Member& member) {
+        for (const auto& [pool, place] : member.places) pools[pool].places.erase(member.id);
+        member.places.clear();
+    }
+    void erase(Member& member) {
+        if (member.warming) std::erase(warming_, &member);
+        members_.erase(members_.find(*member.id));
+    }
+
     // Where sums are rounded depends on the highest weight of all open servers, so a pool's shares depend, by a rounding,
     // on servers outside it. Nearly always the highest is the same before and after, and then only pools that may hold
     // all servers of that weight have to be looked at.
@@ -233,7 +324,7 @@
     double highest_ = 0;
     bool entering_changed_ = false;
     std::set<std::size_t> touched_;
-    std::vector<Member*> queued_;
+    std::vector<Member*> warming_, queued_;
 };
 
 }  // namespace micaroad
--- a/src/tables.hpp
+++ b/src/tables.hpp
@@ -3,7 +3,9 @@
 // and sent is set by balance.cpp.
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -61,6 +63,15 @@
     std::vector<double> bind_lines{};  // by subset: what a proxy that is bound gets
 };
 
+// Some of the servers, all of whose lines each of some proxies has. It is of one zone or of all.
+struct Subset {
+    std::optional<ZoneId> zone{};
+    Row dealt{}, held{};  // by pool: servers, and shares
+    double rate = 0;      // RPCs a second of its proxies
+    double fit = 0;       // below 0: its servers are jammed
+    std::set<ProxyId> all{};
+};
+
 class Tables {
  public:
     struct ByName {
@@ -71,6 +82,8 @@
 
     std::vector<TablePool> pools;
     std::map<ServerId, Entry> servers;
+    std::vector<Subset> subsets;
+    std::map<ProxyId, Bound> bound;
     std::set<Change> plan;
     Entries unsent;             // no table holds a line of them
     Entries cold, jammed;       // jammed: kept out though shares are published, until the next are
@@ -137,10 +150,65 @@
         change();
         count(entry, 1);
     }
-    void set_subsets(std::size_t number) {
+    // While no line is sent. `zones`: 1 where subsets are of all.
+    void set_subsets(std::size_t number, int zones) {
+        subsets.assign(number, {});
+        for (int p = 0; p < std::ssize(subsets); ++p) {
+            Subset& subset = subsets[static_cast<std::size_t>(p)];
+            if (zones > 1) subset.zone = ZoneId{p % zones};
+            subset.dealt = subset.held = Row(pools.size());
+        }
+        all_held_ = Row(pools.size());
         for (TablePool& pool : pools) pool.bind_lines.assign(number, 0);
         for (auto& [id, entry] : servers) entry.subset = std::min(entry.subset, number - 1);
     }
+    // What each subset holds of these pools, anew.
+    void add_up(const std::set<std::size_t>& pools) {
+        for (const std::size_t k : pools) add_up(k);
+        held_part_.clear();
+    }
+    // `sign` -1 takes it out again.
+    void count_dealt(const Entry& entry, double sign) {
+        for (const auto& [k, line] : entry.lines) subsets[entry.subset].dealt[k] += line->wanted > 0 ? sign : 0;
+    }
+    // What a subset holds of a pool that a zone's proxies use: the least part of any.
+    double held_part(std::size_t subset, ZoneId zone) {
+        const auto [at, added] = held_part_.try_emplace({subset, zone}, 1);
+        double& least = at->second;
+        for (std::size_t k = 0; added && subsets.size() > 1 && k < pools.size(); ++k) {
+            const bool used = pools[k].binding.zone.value_or(zone) == zone;
+            if (used && all_held_[k] > 0) least = std::min(least, subsets[subset].held[k] / all_held_[k]);
+        }
+        return least;
+    }
+
+    void bind(ProxyId proxy, const Bound& as) {
+        release(proxy);
+        bound[proxy] = as;
+        subsets[as.subset].all.insert(proxy), subsets[as.subset].rate += as.rate;
+    }
+    void release(ProxyId proxy) {
+        const auto at = bound.extract(proxy);
+        if (!at) return;
+        Subset& its = subsets[at.mapped().subset];
+        its.all.erase(proxy), its.rate -= at.mapped().rate;
+    }
+
+    // It should be out since then; absent: it is not on its way out.
+    void set_leaving(Entry& entry, bool is, Instant due) {
+        leaving.erase({std::exchange(entry.due, due), &entry});
+        if (is) leaving.emplace(due, &entry);
+    }
+    // It is withdrawn or back now.
+    void set_left(Entry& entry, Instant now) {
+        leaving.erase({entry.due, &entry});
+        withdrawn.erase({std::exchange(entry.left, now), &entry});
+        if (entry.out) withdrawn.emplace(now, &entry);
+    }
+    // Nobody asks any more about those who were withdrawn by then.
+    void drop_withdrawn(Instant until) {
+        while (!withdrawn.empty() && withdrawn.begin()->first <= until) withdrawn.erase(withdrawn.begin());
+    }
 
     void plan_turn(Entry& entry, int rank, double size) {
         for (const auto& [pool, line] : entry.lines) drop(line->planned, *entry.id, static_cast<int>(pool));
@@ -204,6 +272,16 @@
         }
         return at->second;
     }
+    void add_up(std::size_t k) {
+        for (Subset& subset : subsets) subset.dealt[k] = subset.held[k] = 0;
+        for (const auto& [id, line] : pools[k].lines) {
+            if (line.entry->sent() == 0) continue;
+            Subset& its = subsets[line.entry->subset];
+            its.held[k] += line.wanted, its.dealt[k] += line.wanted > 0;
+        }
+        all_held_[k] = 0;
+        for (const Subset& subset : subsets) all_held_[k] += subset.held[k];
+    }
     // Who is out is shut out with its line; who may be shut out at a proxy is let back.
     void count(Entry& entry, double sign) {
         for (const auto& [pool, line] : entry.lines) {
@@ -211,6 +289,8 @@
         }
     }
 
+    Row all_held_;  // by pool, of all subsets
+    std::map<std::pair<std::size_t, ZoneId>, double> held_part_;  // as far as asked for since shares were added up
     std::set<std::size_t> touched_;
     std::vector<Entry*> queued_;
 };
