--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,6 +8,7 @@
 //   5. withdrawals at once, bindings and changes in what room is left  (Channel)
 //   6. slices and their owners                                   (SliceKeeper)
 //   7. subsets where the channel can't carry whole tables        (Channel::deal_out)
+#include <deque>
 #include <map>
 #include <random>
 #include <ranges>
@@ -15,7 +16,9 @@
 
 #include "figures.hpp"
 #include "ledger.hpp"
+#include "memberships.hpp"
 #include "notes.hpp"
+#include "tables.hpp"
 
 namespace micaroad {
 namespace {
@@ -81,53 +84,33 @@
 // ---- The design: weights, cost, steps --------------------------------------------------------------------
 
 struct Weigher : Part {
-    struct Member {
-        Standing seen{}; Row weight{}, share{};  // figures by pool
-        bool trusted = false, doubted = false;
-    };
-    struct Pool { Binding binding; Method like; double part = 1; };  // part: of the traffic
-    using Members = std::vector<Member*>; using Shares = std::vector<Row>;  // by pool, of the open servers
+    using Shares = std::vector<Row>;  // by pool that has servers, each a row of its own
 
     Desk& desk; Part& channel;
-    std::vector<Pool> pools;
-    std::map<ServerId, Member> members;
+    Memberships held{desk.terms};
     bool changed = false; Demand demand{};
     // Seconds; RPCs a second from all proxies, and by size; sizes of all open servers, not long ago.
     double limit = 0, total = 0, usual = 0, size_most = 0;
 
     Weigher(Desk& desk, Part& channel) : desk(desk), channel(channel) {
-        for (int m = 0; m < std::ssize(desk.terms.methods) && desk.terms.slices == 0; ++m) {
-            const Method& method = desk.terms.methods[m];
-            for (int zone = 0; zone < (method.own_zone_only ? desk.terms.zones : 1); ++zone) {
-                const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
-                auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool& p) {
-                    return open_alike(p.like, method) && p.binding.zone == home;
-                });
-                const TableId table{static_cast<int>(pools.size()) + 1};
-                if (pool == pools.end()) pool = pools.insert(pool, {{table, {}, home}, method});
-                pool->binding.methods.push_back(MethodId{m});
-            }
-        }
-        for (const Pool& pool : pools) channel.inbox.push_back(pool.binding);
+        for (const WeighedPool& pool : held.pools) channel.inbox.push_back(pool.binding);
     }
 
     void on(const Standing& note) {
-        auto [at, added] = members.try_emplace(note.entry.server);
-        Member& member = at->second;
+        auto [member, added] = held.member(note.entry.server);
         // The first servers are taken on trust: a planner that starts over has nobody else.
-        if (added) member.trusted = usual == 0, member.weight = member.share = Row(pools.size());
-        // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
-        if (note.open && !member.seen.open) member.weight = std::log(note.entry.size);
+        if (added) member.trusted = usual == 0, held.queue(member);
         const bool doubted = !member.trusted && !note.last_ok && note.tries > 0;
         changed |= added || doubted != member.doubted || note.open != member.seen.open ||
                    note.entry.last_start != member.seen.entry.last_start;
-        member.seen = note, member.doubted = doubted;
+        // Steps leave the mean of the weights as it is, so a server may enter at its listed weight.
+        held.update(member, note, doubted, std::log(note.entry.size));
     }
 
     void on(const Pulse&) { if (std::exchange(changed, false)) publish(); }
     void on(const Demand& note) {
         demand = note;
-        for (Pool& pool : pools) {
+        for (WeighedPool& pool : held.pools) {
             double rate = 0;
             for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
             if (rate > 0) pool.part = rate / note.rates.sum();
@@ -135,7 +118,7 @@
     }
 
     void on(const Step&) {
-        const Members open = open_members();
+        const std::vector<Member*> open = held.open();
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish();
         const double ours = rate.sum();
@@ -146,15 +129,18 @@
         size_most = std::max(size_most * 0.9, row_of(open, [](auto& m) { return m.seen.entry.size; }).sum());
         usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
-        Shares now(pools.size());  // as published
-        for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
+        std::vector<PoolRows> pools;
+        for (const std::size_t k : held.peopled()) pools.push_back(rows_of(k));
+        const auto part = [&](const PoolRows& pool) { return held.pools[pool.pool].part; };
         const auto ahead = [&](const Shares& to, TailTerm tail) {
             Row at = rate;
-            for (int k = 0; k < std::ssize(now); ++k) at += ours * pools[k].part * (to[k] - now[k]);
+            for (std::size_t k = 0; k < pools.size(); ++k) {
+                add_moves(pools[k], to[k], ours * part(pools[k]), at);
+            }
             at[at < 0.0] = 0;
             return look_ahead(at, capacity, tail);
         };
-        const Shares stay = shares(open, 0, {});
+        const Shares stay = all_shares(pools, 0, {});
         // The factor stops at the limit: past it the model is so stiff that a larger one allows no step.
         const double lateness = std::min(ahead(stay, {0, 1, kClamp}).p95 / limit, 1.0);
         const TailTerm tail{5 * std::exp(10 * (lateness - 1)), limit, kClamp};
@@ -162,25 +148,22 @@
         Shares downhill = stay;  // how far the weights go in a whole step
         const double scale = kStepScale * std::ssize(open) / std::max(here.cost, 1e-9) * ours;
         for (std::size_t k = 0; k < pools.size(); ++k) {
-            downhill[k] *= scale * pools[k].part * (here.slope - (stay[k] * here.slope).sum());
+            const Row slope = row_at(pools[k].index, here.slope);
+            downhill[k] *= scale * part(pools[k]) * (slope - (stay[k] * slope).sum());
         }
         const auto room = [&](double c) {
-            const Shares share = shares(open, c, downhill);
-            double moved = 0;
-            for (std::size_t k = 0; k < pools.size(); ++k) moved += std::pow(share[k] - stay[k], 2.0).sum();
-            return kMostMove - std::sqrt(moved);
+            const Shares share = all_shares(pools, c, downhill);
+            double sum = 0;
+            for (std::size_t k = 0; k < pools.size(); ++k) sum += moved(stay[k], share[k]);
+            return kMostMove - std::sqrt(sum);
         };
-        const auto cost = [&](double c) { return ahead(shares(open, c, downhill), tail).cost; };
+        const auto cost = [&](double c) { return ahead(all_shares(pools, c, downhill), tail).cost; };
         double c = room(1) >= 0 ? 1 : crossing(0, 1, 0, room);
         // A step within the bound can still overshoot what the model says is best along it: halved until not.
         double best = cost(c);
         for (double half; c > 1e-3 && (half = cost(c / 2)) < best; c /= 2) best = half;
-        for (std::size_t k = 0; k < pools.size() && here.cost - best > kLeastGain * here.cost; ++k) {
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                const double least = std::log(open[i]->seen.entry.size) + kLeast;
-                open[i]->weight[k] = std::max(open[i]->weight[k] - c * downhill[k][i], least);
-            }
-        }
+        const auto least = [](const Member& m) { return std::log(m.seen.entry.size) + kLeast; };
+        if (here.cost - best > kLeastGain * here.cost) held.move(open, pools, c, downhill, least);
         publish();
     }
 
@@ -194,19 +177,14 @@
     // Of a listed share: many must not cost much, one must be tried. More comes by chance once a day.
     static constexpr double kTrial = 0.1, kDeviations = 4;
 
-    Members open_members() {
-        Members open;
-        for (auto& [id, member] : members) if (member.seen.open) open.push_back(&member);
-        return open;
-    }
     // Mechanism 1. Guards against a server that fails fast (looks idle), hangs or can't be reached: a failed
     // try is an answer at twice the tail's limit. It could harm where few RPCs come: hence the doubts.
-    bool weigh_evidence(const Members& open, Row& rate, Row& answer) {
+    bool weigh_evidence(const std::vector<Member*>& open, Row& rate, Row& answer) {
         const Row tries = row_of(open, [](const Member& m) { return m.seen.tries; });
         const Row bad = row_of(open, [](const Member& m) { return m.seen.bad; });
         const Row answers = row_of(open, [](const Member& m) { return m.seen.answer_seconds; });
         const Row ok = tries - bad;
-        if (open.empty() || pools.empty() || ok.sum() <= 0) return false;
+        if (open.empty() || held.pools.empty() || ok.sum() <= 0) return false;
         const double mean = answers.sum() / ok.sum();
         if (limit == 0) limit = std::max(shortest_soft_deadline(desk.terms), 2 * mean);
         const Row usual_here = (kind_sums(open, answers) + kDoubt * mean) / (kind_sums(open, ok) + kDoubt);
@@ -237,46 +215,34 @@
         return std::min(most, std::min(able * warm, root * root) / (total * seconds(t.fall_span)));
     }
 
-    Row sizes(std::size_t k, const Members& open) const {
-        const Pool& pool = pools[k];
-        return row_of(open, [&pool](const Member& m) {
-            return open_to(pool.like, pool.binding.zone, m.seen.entry) ? m.seen.entry.size : 0;
-        });
+    PoolRows rows_of(std::size_t pool) {
+        return held.rows_of(pool, [this](const Member& m, double listed) { return ceiling(m, listed); });
     }
-
-    // Softmax over the servers that a pool is open to, after a part of a step; none above its ceiling while
-    // others have room.
-    Shares shares(const Members& open, double c, const Shares& downhill) const {
-        Shares all(pools.size(), Row(open.size()));
-        for (std::size_t k = 0; k < pools.size() && !open.empty(); ++k) {
-            const Row size = sizes(k, open);
-            if (size.sum() == 0) continue;
-            Row weight = row_of(open, [k](const Member& m) { return m.weight[k]; });
-            if (!downhill.empty()) weight -= c * downhill[k];
-            Row share = std::exp(weight - weight.max());
-            share[size == 0.0] = 0, share /= share.sum();
-            Row eased = share, free = share;
-            for (std::size_t i = 0; i < open.size(); ++i) {
-                const double most = ceiling(*open[i], size[i] / size.sum());
-                (most < 1 ? free : eased)[i] = 0;
-                eased[i] = std::min(eased[i], most);
-            }
-            all[k] = free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+    // After a part of a step.
+    Shares all_shares(const std::vector<PoolRows>& pools, double c, const Shares& downhill) const {
+        Shares all(pools.size());
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            const Row& weight = pools[k].weight;
+            all[k] = capped_softmax(pools[k], downhill.empty() ? weight : Row(weight - c * downhill[k]));
         }
         return all;
     }
 
+    // Tells of what changed since the last time: shares of pools that were touched or hold who is not warm
+    // yet, as ceilings rise by age.
     void publish() {
-        if (pools.empty()) return;
-        const Members open = open_members();
-        const Shares share = shares(open, 0, {});
-        for (auto& [id, member] : members) member.share = 0;
-        for (std::size_t k = 0; k < pools.size(); ++k) {
-            for (std::size_t i = 0; i < open.size(); ++i) open[i]->share[k] = share[k][i];
+        if (held.pools.empty()) return;
+        const bool any_cold = held.age([this](const Member& member) { return warmth(member); });
+        for (const std::size_t k : held.take_touched()) {
+            const PoolRows rows = rows_of(k);
+            held.publish(rows, capped_softmax(rows, rows.weight));
+        }
+        const Published done{any_cold, !held.empty()};
+        for (Member* const member : held.take_queued()) {
+            member->cold = warmth(*member) < 1;
+            channel.inbox.push_back(held.take_wish(*member));
         }
-        for (const auto& [id, m] : members) channel.inbox.push_back(Wish{m.seen, m.share, warmth(m) < 1});
-        channel.inbox.push_back(Cold{std::ranges::any_of(open, [&](auto* m) { return warmth(*m) < 1; })});
-        std::erase_if(members, [](const auto& member) { return member.second.seen.gone(); });
+        channel.inbox.push_back(done);
     }
 };
 
@@ -366,25 +332,15 @@
 struct Channel : Part {
     // Mechanism 4. Only on proof that the first never ran; none while a level is cut or a server cold.
     static constexpr FurtherTry kFurther = FurtherTry::once_if_never_ran;
-    struct Entry {
-        Row wanted, sent;  // shares by pool
-        bool out = false, shaky = false, cold = false;  // withdrawn; may be shut out at a proxy that joins
-        int known_to = 0;  // the last to join of the proxies that were told that it is out
-        ZoneId zone{}; std::size_t subset = 0;
-        // Since when it should be, when first it was, last heard of; part of the latest tries.
-        Instant due{}, left{}, wished{}; double ok = 1;
-    };
-    // Of one zone or all; servers and shares by pool, RPCs a second of its proxies; jammed if fit is below 0.
-    struct Subset { std::optional<ZoneId> zone; Row dealt, held; double rate, fit; std::set<ProxyId> all; };
     Desk& desk;
-    std::vector<Binding> bindings{};  // by pool
-    std::map<ServerId, Entry> servers{};
-    std::vector<Subset> subsets{};
-    std::map<ProxyId, Bound> bound{};
+    Tables tables{};
+    std::vector<Subset>& subsets = tables.subsets;
+    std::map<ProxyId, Bound>& bound = tables.bound;
     std::map<std::tuple<bool, double, ProxyId>, Loose> unbound{};  // in the order of binding
-    std::deque<Handover> handovers{}; std::deque<Change> plan{};
-    int pressed = 0;  // withdrawals in it, the first due since oldest
-    bool stale = false, again = false, cold = false, braked = false, sent_never = false;
+    std::deque<Handover> handovers{};
+    int pressed = 0, pools_in_use = 0;  // withdrawals in the plan, the first due since oldest
+    // A plan is to be made; shares were published since the last.
+    bool stale = false, fresh = false, again = false, cold = false, braked = false, sent_never = false;
     Row wanted_levels = Row(1.0, desk.terms.methods.size());
     // Where proxies do not try so by themselves, the first level tells them.
     Row sent_levels = Row(desk.terms.further_tries == kFurther ? 1.0 : 0.0, desk.terms.methods.size());
@@ -394,9 +350,12 @@
     double allowance = 0; int joinings = 0;  // lines that learnt changes may use; how many joined
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
-    void on(const Binding& note) { bindings.push_back(note); }
+    void on(const Binding& note) { tables.pools.push_back({note}); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
-    void on(const Cold& note) { cold = note.any; }
+    void on(const Published& note) {
+        cold = note.any_cold;
+        if (note.any_server) stale = fresh = true;
+    }
     void on(const Handover& note) { handovers.push_back(note); }
     void on(const event::ProxyJoined& note) {
         on(event::ProxyLeft{note.proxy}), again = true;
@@ -404,18 +363,20 @@
     }
     void on(const event::ProxyLeft& note) {
         std::erase_if(unbound, [&](auto& at) { return std::get<ProxyId>(at.first) == note.proxy; });
-        release(note.proxy), ledger.left(note.proxy);
+        tables.release(note.proxy), ledger.left(note.proxy);
     }
     void on(const event::MarkApplied& n) { if (ledger.answered(n.proxy, n.mark)) answered = desk.now; }
     void on(const Wish& note) {
-        Entry& entry = servers[note.seen.entry.server];
-        if (entry.sent.size() == 0) entry.sent = 0 * note.shares;
-        entry.wanted = note.shares, entry.wished = desk.now, stale = true;
-        entry.zone = note.seen.entry.zone, entry.shaky |= !note.seen.steady, entry.cold = note.cold;
+        Entry& entry = tables.entry(note.server);
+        tables.recount(entry, [&] { entry.shaky |= !note.steady; });
+        tables.set_shares(entry, note.shares), tables.set_live(entry, !note.last, desk.now);
+        tables.set_cold(entry, note.cold), entry.zone = note.zone;
     }
     void on(const event::Outcomes& met) {
-        const auto at = servers.find(met.server);
-        if (at != servers.end()) at->second.ok = 1 - met.bad / met.tries, stale |= cold;
+        const auto at = tables.servers.find(met.server);
+        if (at == tables.servers.end()) return;
+        at->second.ok = 1 - met.bad / met.tries, stale |= cold;
+        Tables::put(tables.failing, at->second, at->second.ok < kJammed);
     }
     void on(const Pulse&) {
         const double span = seconds(desk.now - std::exchange(counted, desk.now));
@@ -456,59 +417,58 @@
     // Mechanism 7. Guards against a channel that can't carry tables of all servers, nor each withdrawal, to
     // all proxies in time: servers are dealt out, a proxy holds one subset. It could harm where few are left
     // in one: proxies move on then.
-    void deal_out() {
-        if (bound.empty() && std::ranges::all_of(servers, [](auto& s) { return s.second.sent.sum() == 0; })) {
+    void deal_out(const std::set<std::size_t>& pools) {
+        if (bound.empty() && tables.unsent.size() == tables.servers.size()) {
             double table = 0;
-            for (const auto& [id, entry] : servers) for (double share : entry.wanted) table += share > 0;
+            for (const TablePool& pool : tables.pools) {
+                for (const auto& [id, line] : pool.lines) table += line.wanted > 0;
+            }
             const double proxies = 1.0 * std::max(1, desk.terms.proxies) / desk.terms.planners;
             const double in_time = kBindGrace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
             const double most = in_time / proxies - head - 2.0 * sent_levels.size();
-            const double fit = std::ceil(table / std::max(most, kLeastSubset * bindings.size()));
-            const double parts = std::min(fit, kTables * proxies / std::max(1.0, 1.0 * bindings.size()));
+            const double fit = std::ceil(table / std::max(most, kLeastSubset * tables.pools.size()));
+            const double parts = std::min(fit, kTables * proxies / std::max(1.0, 1.0 * tables.pools.size()));
             const double zones = desk.terms.zones > 1 && parts >= desk.terms.zones ? desk.terms.zones : 1;
-            subsets.assign(static_cast<std::size_t>(std::max(1.0, std::ceil(parts / zones) * zones)), {});
-            for (int p = 0; zones > 1 && p < std::ssize(subsets); ++p) subsets[p].zone = {p % int(zones)};
-        }
-        const auto uses = [](Row share) { return share[share > 0.0] = 1, share; };
-        for (Subset& subset : subsets) subset.dealt = subset.held = Row(bindings.size()), subset.fit = 0;
-        for (auto& [id, e] : servers) if (e.sent.sum() > 0) {
-            subsets[e.subset].held += e.wanted, subsets[e.subset].dealt += uses(e.wanted);
-            if (!e.cold) subsets[e.subset].fit += (e.ok - kJammed) * e.wanted.sum();
+            const double number = std::max(1.0, std::ceil(parts / zones) * zones);
+            tables.set_subsets(static_cast<std::size_t>(number), static_cast<int>(zones));
         }
-        for (auto& [id, entry] : servers) {
-            if (entry.sent.sum() > 0 || entry.wanted.sum() == 0) continue;
+        judge_subsets();
+        if (subsets.size() == 1) return;
+        tables.add_up(pools);
+        std::vector<Entry*> dealt;  // once more in each plan, until a line of it is sent
+        for (Entry* const entry : tables.unsent) if (entry->wanted() > 0) {
             const auto like = [&](const Subset& s) {
-                const bool away = s.zone.value_or(entry.zone) != entry.zone;
-                return std::pair(away, (s.dealt * uses(entry.wanted)).sum());
+                double sum = 0;
+                for (const auto& [k, line] : entry->lines) sum += line->wanted > 0 ? s.dealt[k] : 0;
+                return std::pair(s.zone.value_or(entry->zone) != entry->zone, sum);
             };
-            const auto fewest = std::ranges::min_element(subsets, {}, like);
-            entry.subset = fewest - subsets.begin(), fewest->dealt += uses(entry.wanted);
+            entry->subset = std::ranges::min_element(subsets, {}, like) - subsets.begin();
+            tables.count_dealt(*entry, 1), dealt.push_back(entry);
+        }
+        for (Entry* const entry : dealt) tables.count_dealt(*entry, -1);
+    }
+    void judge_subsets() {  // none is jammed where nobody fails
+        for (Subset& subset : subsets) subset.fit = 0;
+        if (tables.cold.empty() || tables.failing.empty()) return;
+        for (const auto& [id, e] : tables.servers) if (!e.cold && e.sent() > 0) {
+            subsets[e.subset].fit += (e.ok - kJammed) * (fresh ? e.share() : e.wanted());
         }
     }
     TableId table_of(std::size_t pool, std::size_t subset) const {
-        return {bindings[pool].table.value + static_cast<int>(subset * bindings.size())};
+        return {binding(pool).table.value + static_cast<int>(subset * tables.pools.size())};
     }
-    bool meant_for(std::size_t pool, ZoneId zone) const { return bindings[pool].zone.value_or(zone) == zone; }
+    const Binding& binding(std::size_t pool) const { return tables.pools[pool].binding; }
+    bool meant_for(std::size_t pool, ZoneId zone) const { return binding(pool).zone.value_or(zone) == zone; }
     // RPCs of a subset's proxies, and of one more, for each part of the pool that it has least of.
-    double load(std::size_t subset, ZoneId zone, double more) const {
-        double least = 1;
-        for (std::size_t k = 0; k < bindings.size(); ++k) if (meant_for(k, zone)) {
-            double all = 0;
-            for (const Subset& other : subsets) all += other.held[k];
-            if (all > 0) least = std::min(least, subsets[subset].held[k] / all);
-        }
+    double load(std::size_t subset, ZoneId zone, double more) {
+        const double least = tables.held_part(subset, zone);
         const bool away = subsets[subset].zone.value_or(zone) != zone;
         return (subsets[subset].rate + more) / std::max(least, 1e-9) * (away ? kAway : 1);
     }
-    std::size_t lightest(ZoneId zone, double more) const {
+    std::size_t lightest(ZoneId zone, double more) {
         const auto its = [&](std::size_t p) { return load(p, zone, more); };
         return std::ranges::min(std::views::iota(std::size_t{0}, subsets.size()), {}, its);
     }
-    void release(ProxyId proxy) {
-        const auto at = bound.extract(proxy);
-        Subset* const its = at ? &subsets[at.mapped().subset] : nullptr;
-        if (its) its->all.erase(proxy), its->rate -= at.mapped().rate;
-    }
     // One proxy after the other moves from the most loaded subset.
     void even_out() {
         if (!unbound.empty() || desk.terms.messages_most > 0) return;
@@ -525,69 +485,111 @@
     }
 
     void make_plan() {
-        plan.clear(), pressed = 0, oldest = desk.now, deal_out();
-        // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
-        // that they have would come to it, however small its part. It costs capacity.
-        for (auto& [id, e] : servers) if (e.cold && subsets[e.subset].fit < 0) e.wanted = 0;
+        const Instant old = desk.now - kForgotten * desk.step;
+        // Gone: nobody speaks of it any more. Its lines go first, or whoever is bound later would get them.
+        for (auto at = tables.departed.begin(); at != tables.departed.end() && at->first < old;) {
+            Entry& entry = *(at++)->second;
+            if (entry.out) entry.sent() == 0 ? tables.forget(entry) : tables.queue(entry);
+        }
+        std::set<std::size_t> pools = tables.take_touched(fresh);
+        for (const std::size_t k : pools) for (auto& [id, line] : tables.pools[k].lines) {
+            if (fresh) line.wanted = line.share;
+        }
+        deal_out(pools);
+        const std::set<std::size_t> jammed = shut_out_jammed();
+        pools.insert(jammed.begin(), jammed.end());
+        const bool none_before = pools_in_use == 0;
+        for (const std::size_t k : pools) scale(tables.pools[k], k);
+        tables.unsettled.insert(jammed.begin(), jammed.end());
+        if (none_before != (pools_in_use == 0)) tables.queue(tables.turning);
+        tables.queue(std::exchange(tables.repeated, {}));
+        tables.drop_withdrawn(desk.now - desk.terms.drain_grace - desk.terms.message_longest);
+        for (const auto& [left, entry] : tables.withdrawn) if (again) tables.queue(*entry);
+        for (Entry* const entry : tables.take_queued()) plan_for(*entry, old);
+        pressed = static_cast<int>(tables.leaving.size()), oldest = desk.now;
+        if (pressed > 0) oldest = std::min(oldest, tables.leaving.begin()->first);
+        stale = again = fresh = false;
+    }
+
+    // Guards against a cold server alone among jammed ones: proxies shut these out by themselves, and all
+    // that they have would come to it, however small its part. It costs capacity. The pools that have one.
+    std::set<std::size_t> shut_out_jammed() {
+        std::set<std::size_t> pools;
+        for (Entry* const entry : tables.cold) if (subsets[entry->subset].fit < 0 && entry->wanted() > 0) {
+            for (const auto& [k, line] : entry->lines) line->wanted = 0, pools.insert(k);
+            tables.jammed.insert(entry);
+        }
+        return pools;
+    }
+
+    // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
+    void scale(TablePool& pool, std::size_t k) {
+        double had = 0, meant = 0;  // of the servers that stay in use
+        for (const auto& [id, line] : pool.lines) {
+            if (!line.entry->out && line.sent * line.wanted > 0) had += line.sent, meant += line.wanted;
+        }
+        const double by = had > 0 ? had / meant : 1;
+        for (auto& [id, line] : pool.lines) line.wanted *= by, tables.queue(*line.entry);
+        pools_in_use += (had > 0) - (std::exchange(pool.had, had) > 0);
+        by == 1 ? (void)tables.unsettled.erase(k) : (void)tables.unsettled.insert(k);
+        fresh ? (void)tables.scaled.erase(k) : (void)tables.scaled.insert(k);
+    }
+
+    void plan_for(Entry& entry, Instant old) {
         const int newest = unbound.empty() ? 0 : joinings;  // of those that are not bound
-        Row had(bindings.size()), meant(bindings.size());  // of the servers that stay in use, by pool
-        for (const auto& [id, entry] : servers) for (int k = 0; k < std::ssize(bindings) && !entry.out; ++k) {
-            if (entry.sent[k] * entry.wanted[k] > 0) had[k] += entry.sent[k], meant[k] += entry.wanted[k];
+        const double all = entry.wanted();
+        const bool out = all == 0;
+        const Instant told = entry.left + desk.terms.drain_grace + desk.terms.message_longest;
+        const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
+        const Instant due = !out ? Instant{} : entry.due == Instant{} ? desk.now : entry.due;
+        tables.set_leaving(entry, out && !entry.out, due);
+        if (repeat) tables.repeated.insert(&entry);
+        if (out != entry.out || repeat) {
+            // The longest due first; then, for who has just joined, the latest; then who is back.
+            const double since = seconds((repeat ? told : due).time_since_epoch());
+            const double size = repeat ? 1e12 - since : out ? since : -kBeforeAll * (1 + all);
+            return tables.plan_turn(entry, out || pools_in_use == 0 ? 0 : 1, size);
         }
-        // Gone: nobody speaks of it any more. Its lines go first, or whoever is bound later would get them.
-        const Instant old = desk.now - kForgotten * desk.step;
-        const auto over = [old](const Entry& entry) { return entry.out && entry.wished < old; };
-        std::erase_if(servers, [&](auto& at) { return over(at.second) && at.second.sent.sum() == 0; });
-        for (auto& [server, entry] : servers) {
-            // Weights are relative: what a wave of withdrawals does to all others alike takes no line.
-            for (std::size_t k = 0; k < had.size(); ++k) if (had[k] > 0) entry.wanted[k] *= had[k] / meant[k];
-            const bool out = entry.wanted.sum() == 0;
-            const Instant told = entry.left + desk.terms.drain_grace + desk.terms.message_longest;
-            const bool repeat = out && entry.out && again && desk.now < told && entry.known_to < newest;
-            if (!out || entry.due == Instant{}) entry.due = out ? desk.now : Instant{};
-            if (out != entry.out || repeat) {
-                // The longest due first; then, for who has just joined, the latest; then who is back.
-                const double due = seconds((repeat ? told : entry.due).time_since_epoch());
-                const double size = repeat ? 1e12 - due : out ? due : -kBeforeAll * (1 + entry.wanted.sum());
-                plan.push_back({out || had.max() == 0 ? 0 : 1, size, server, -1});
-                if (out && !repeat) ++pressed, oldest = std::min(oldest, entry.due);
-                continue;
-            }
-            for (std::size_t k = 0; k < bindings.size(); ++k) {
-                const double wanted = entry.wanted[k], sent = entry.sent[k], size = std::abs(wanted - sent);
-                if (size <= (wanted > 0 && sent > 0 ? kWorthSending * sent : 0)) continue;
-                // Guards against lines that never find room and stay for good: at last before all learnt.
-                const bool first = over(entry);
-                const int rank = out && !first ? 2 : 1;
-                plan.push_back({rank, first ? -kBeforeAll : -size, server, static_cast<int>(k)});
-            }
+        tables.drop_turn(entry);
+        // Guards against lines that never find room and stay for good: at last before all learnt.
+        const bool first = entry.out && !entry.live && entry.wished < old;
+        const int rank = out && !first ? 2 : 1;
+        for (const auto& [k, line] : entry.lines) {
+            const double wanted = line->wanted, sent = line->sent, size = std::abs(wanted - sent);
+            const Change change{rank, first ? -kBeforeAll : -size, *entry.id, static_cast<int>(k)};
+            size <= (wanted > 0 && sent > 0 ? kWorthSending * sent : 0)
+                ? tables.drop(line->planned, *entry.id, static_cast<int>(k))
+                : tables.plan_at(line->planned, change);
         }
-        std::sort(plan.begin(), plan.end()), stale = again = false;
+        tables.drop_empty_lines(entry);
     }
 
     // Most lines that a change costs each bound proxy; `only`: one pool, or below 0 its way out or back.
     double lines_of(const Entry& entry, int only) const {
-        const bool out = entry.wanted.sum() == 0, said = out && entry.out;
+        const bool out = entry.wanted() == 0, said = out && entry.out;
         if (only >= 0) return 1.0 + (entry.shaky && !out);
-        double lines = !said && (!out || entry.sent.sum() > 0);  // who holds no line of it hears nothing
-        if (!out || said) for (auto k = bindings.size(); k-- > 0;) lines += entry.wanted[k] != entry.sent[k];
+        double lines = !said && (!out || entry.sent() > 0);  // who holds no line of it hears nothing
+        if (!out || said) for (const auto& [k, line] : entry.lines) lines += line->wanted != line->sent;
         return lines;
     }
 
-    void carry_out(const ServerId& server, int only) {
-        Entry& entry = servers.at(server);
-        const bool out = entry.wanted.sum() == 0, said = out && entry.out;
-        for (int k = 0; k < std::ssize(bindings); ++k) {
-            // Said again, a withdrawal is to reach none that heard it: their tables drop the line first.
-            const bool meant = only < 0 ? !out || said : k == only;
-            if (!meant || entry.wanted[k] == entry.sent[k]) continue;
-            desk.orders.push_back(order::SetLine{table_of(k, entry.subset), server, entry.wanted[k]});
-            entry.sent[k] = entry.wanted[k];
-        }
+    void carry_out(Entry& entry, int only) {
+        const bool out = entry.wanted() == 0, said = out && entry.out;
+        tables.recount(entry, [&] {
+            for (const auto& [k, line] : entry.lines) {
+                // Said again, a withdrawal is to reach none that heard it: their tables drop the line first.
+                const bool meant = only < 0 ? !out || said : static_cast<int>(k) == only;
+                if (!meant || line->wanted == line->sent) continue;
+                desk.orders.push_back(order::SetLine{table_of(k, entry.subset), *entry.id, line->wanted});
+                line->sent = line->wanted;
+            }
+            if (only < 0) entry.out = out, entry.shaky = true;
+        });
+        tables.touch(entry), Tables::put(tables.unsent, entry, entry.sent() == 0);
         if (only >= 0) return;
-        desk.orders.push_back(order::Withdraw{server, entry.out = out});
-        entry.shaky = true, entry.known_to = joinings;
-        if (!said) entry.left = desk.now;
+        desk.orders.push_back(order::Withdraw{*entry.id, out});
+        entry.known_to = joinings;
+        if (!said) tables.set_left(entry, desk.now);
     }
 
     void send_changes() {
@@ -627,7 +629,7 @@
         const bool worth = turned || std::abs(levels - sent_levels).max() > kLevelWorthSending;
         if (const double all = 1.0 * levels.size(); worth && fits(rank, all, -1, joinings)) {
             const FurtherTry how = never ? FurtherTry::never : kFurther;
-            for (std::size_t k = 0; k < bindings.size(); ++k) for (const MethodId m : bindings[k].methods) {
+            for (std::size_t k = 0; k < tables.pools.size(); ++k) for (const auto m : binding(k).methods) {
                 for (std::size_t p = 0; p < subsets.size(); ++p) {
                     desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
@@ -640,17 +642,17 @@
             const auto& [slice, server, weight] = handovers.front();
             desk.orders.push_back(order::SetLine{slice, server, weight});
         }
-        for (; !plan.empty(); plan.pop_front()) {
-            const auto& [rank, size, server, pool] = plan.front();
-            const Entry& entry = servers.at(server);
-            const bool said = entry.out && entry.wanted.sum() == 0;
+        while (!tables.plan.empty()) {
+            const auto [rank, size, server, pool] = *tables.plan.begin();
+            Entry& entry = tables.servers.at(server);
+            const bool said = entry.out && entry.wanted() == 0;
             const int since = pool >= 0 ? joinings : said ? entry.known_to : 0;
             const double more = lines_of(entry, pool);
             if (!fits(rank, more, static_cast<int>(entry.subset), since)) break;
             (rank == 0 ? pressing : learnt) = true;
             if (rank == 0) pressed = std::max(0, pressed - 1);
             lines[entry.subset] += more, loose += after(since), first = std::min(first, since);
-            told.push_back(since), carry_out(server, pool);
+            told.push_back(since), tables.take_first(), carry_out(entry, pool);
         }
         if (!pressing && !learnt) return;
         std::ranges::sort(told);
@@ -672,19 +674,15 @@
     double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {  // what it cost
         double lines = 0;
         std::vector<Order> orders;
-        for (std::size_t k = 0; k < bindings.size(); ++k) {
+        for (std::size_t k = 0; k < tables.pools.size(); ++k) {
             if (!meant_for(k, zone)) continue;
-            // Who is out is shut out with its line; who may be shut out there is let back.
-            for (const auto& [id, entry] : servers) {
-                if (entry.subset == subset && entry.sent[k] > 0) lines += entry.out || entry.shaky ? 2 : 1;
-            }
-            orders.push_back(order::Bind{table_of(k, subset), bindings[k].methods, proxy});
+            lines += tables.pools[k].bind_lines[subset];
+            orders.push_back(order::Bind{table_of(k, subset), binding(k).methods, proxy});
         }
         const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
         if (lines == 0 || cost > most) return 0;
         desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
-        release(proxy), ledger.charge(proxy, cost), bound[proxy] = {zone, rate, subset};
-        subsets[subset].all.insert(proxy), subsets[subset].rate += rate;
+        tables.bind(proxy, {zone, rate, subset}), ledger.charge(proxy, cost);
         return cost;
     }
 
--- /dev/null
+++ b/src/memberships.hpp
@@ -0,0 +1,330 @@
+// Which servers each pool holds, and what each server has in each of its pools: containers and look-ups that are kept
+// by changes, so that nobody has to walk all servers or all pools. They decide nothing: weights, shares and ceilings are
+// set by balance.cpp.
+#pragma once
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "figures.hpp"
+#include "notes.hpp"
+
+namespace micaroad {
+
+struct Member;
+
+// Orders servers by their names, without a copy of these.
+struct ByServer {
+    bool operator()(const ServerId* one, const ServerId* other) const { return *one < *other; }
+};
+
+// A server in one pool. The place stays while the server is open, also where a new kind or zone took the server out of
+// the pool: its size counts as 0 there.
+struct Place {
+    Member* member = nullptr;
+    double weight = 0;  // of the softmax, a logarithm
+    double share = 0;   // of the pool, as published
+};
+
+// A server that is listed, or was until a moment ago.
+struct Member {
+    const ServerId* id = nullptr;
+    Standing seen{};
+    double entering = 0;  // its weight in every pool in which it has no place
+    std::vector<std::pair<std::size_t, Place*>> places{};  // by pool, in their order
+    bool trusted = false, doubted = false;
+    bool cold = false;    // as published
+    bool warming = false, queued = false;  // in the lists of these
+    std::size_t index = 0;                 // among the open servers of a step
+};
+
+struct WeighedPool {
+    Binding binding;
+    Method like;
+    double part = 1;  // of the traffic
+    std::map<const ServerId*, Place, ByServer> places{};
+    double outside = 0;  // as it was when the pool's shares were last published
+};
+
+// The open servers of a pool in the order of their names, with a figure of each in every row.
+struct PoolRows {
+    std::size_t pool = 0;
+    std::vector<Place*> places{};
+    std::vector<std::size_t> index{};  // among the open servers of a step
+    Row weight{}, share{}, size{};     // share: as published; size: 0 where the pool is not open to the server
+    Row most{};                        // the ceiling of its share
+    double sizes = 0;                  // the sum of `size`
+    double outside = 0;  // the highest weight of an open server without a place here; -infinity: there is none
+};
+
+// Adds to the rate of each open server what comes more where a pool's shares move on from the published ones. `rate`: of
+// the pool's RPCs, a second.
+inline void add_moves(const PoolRows& pool, const Row& shares, double rate, Row& to) {
+    for (std::size_t i = 0; i < shares.size(); ++i) to[pool.index[i]] += rate * (shares[i] - pool.share[i]);
+}
+
+// The square of the distance between two rows.
+inline double moved(const Row& from, const Row& to) { return to.size() > 0 ? std::pow(to - from, 2.0).sum() : 0; }
+
+// Shares by softmax over the weights, none of a server of size 0. What is over a ceiling is dealt among those that have
+// none, by their shares; where all have one, no ceiling holds.
+inline Row capped_softmax(const PoolRows& pool, const Row& weight) {
+    if (pool.sizes == 0) return Row(pool.places.size());
+    Row share = std::exp(weight - std::max(weight.max(), pool.outside));
+    share[pool.size == 0.0] = 0, share /= share.sum();
+    Row eased = share, free = share;
+    for (std::size_t i = 0; i < share.size(); ++i) {
+        (pool.most[i] < 1 ? free : eased)[i] = 0;
+        eased[i] = std::min(eased[i], pool.most[i]);
+    }
+    return free.sum() > 0 ? Row(eased + free * (1 - eased.sum()) / free.sum()) : share;
+}
+
+class Memberships {
+ public:
+    std::vector<WeighedPool> pools;
+
+    // Methods that are open alike share a pool; one that keeps to its own zone has a pool for each.
+    explicit Memberships(const Terms& terms) {
+        using Openness = std::tuple<std::vector<KindId>, std::vector<ZoneId>, std::optional<ZoneId>>;
+        std::map<Openness, std::size_t> known;
+        for (int m = 0; m < std::ssize(terms.methods) && terms.slices == 0; ++m) {
+            const Method& method = terms.methods[m];
+            for (int zone = 0; zone < (method.own_zone_only ? terms.zones : 1); ++zone) {
+                const auto home = method.own_zone_only ? std::optional{ZoneId{zone}} : std::nullopt;
+                const Openness openness{method.only_kinds, method.only_zones, home};
+                const auto [at, added] = known.try_emplace(openness, pools.size());
+                if (added) add_pool(method, home);
+                pools[at->second].binding.methods.push_back(MethodId{m});
+            }
+        }
+    }
+
+    bool empty() const { return members_.empty(); }
+    std::pair<Member&, bool> member(const ServerId& server) {  // true: it was not held
+        const auto [at, added] = members_.try_emplace(server);
+        if (added) at->second.id = &at->first;
+        return {at->second, added};
+    }
+    // Open servers in the order of their names; each is told its index.
+    std::vector<Member*> open() {
+        std::vector<Member*> open;
+        open.reserve(by_entering_.size());
+        for (auto& [id, member] : members_) {
+            if (!member.seen.open) continue;
+            member.index = open.size();
+            open.push_back(&member);
+        }
+        return open;
+    }
+
+    // Takes over what a server says of itself. `entering`: its weight where it opens now.
+    void update(Member& member, const Standing& now, bool doubted, double entering) {
+        const Standing& was = member.seen;
+        const bool opens = now.open && !was.open, closes = was.open && !now.open;
+        const bool moves = now.entry.kind != was.entry.kind || now.entry.zone != was.entry.zone;
+        const bool same = !opens && !closes && !moves && doubted == member.doubted && now.steady == was.steady &&
+                          now.gone() == was.gone() && now.entry.size == was.entry.size &&
+                          now.entry.last_start == was.entry.last_start;
+        if (closes) by_entering_.erase({member.entering, &member}), entering_changed_ = true;
+        if (opens) enter(member, entering);
+        member.seen = now, member.doubted = doubted;
+        if (now.open && (opens || moves)) join_pools(member);
+        if (now.entry.last_start && !std::exchange(member.warming, true)) warming_.push_back(&member);
+        if (!same) queue(member), touch(member);
+    }
+    // Takes so much of `downhill` off the weights, where they stay above a member's `least`.
+    template <class Least>
+    void move(const std::vector<Member*>& open, const std::vector<PoolRows>& rows, double part,
+              const std::vector<Row>& downhill, Least least) {
+        for (std::size_t k = 0; k < rows.size(); ++k) {
+            for (std::size_t i = 0; i < rows[k].places.size(); ++i) {
+                Place& place = *rows[k].places[i];
+                place.weight = std::max(place.weight - part * downhill[k][i], least(*place.member));
+            }
+        }
+        for (Member* const member : open) set_entering(*member, std::max(member->entering, least(*member)));
+        touch_all();
+    }
+
+    // Touches the pools of members with a start that were not found warm yet. `warmth`: by age, at least 1: warm. True:
+    // an open one is cold.
+    template <class Warmth>
+    bool age(Warmth warmth) {
+        bool any_cold = false;
+        std::erase_if(warming_, [&](Member* member) {
+            const double its = warmth(*member);
+            any_cold |= its < 1 && member->seen.open;
+            if ((its < 1) != member->cold) queue(*member);
+            touch(*member);
+            member->warming = !(its >= 1);
+            return !member->warming;
+        });
+        return any_cold;
+    }
+
+    // Its figures are to be published again.
+    void queue(Member& member) {
+        if (!std::exchange(member.queued, true)) queued_.push_back(&member);
+    }
+    std::vector<Member*> take_queued() {
+        for (Member* const member : queued_) member->queued = false;
+        return std::exchange(queued_, {});
+    }
+    // The shares of its pools, or of all, are to be worked out again.
+    void touch(const Member& member) {
+        for (const auto& [pool, place] : member.places) touched_.insert(pool);
+    }
+    void touch_all() {
+        for (const std::size_t k : peopled()) touched_.insert(k);
+    }
+    std::set<std::size_t> take_touched() {
+        touch_by_outside();
+        return std::exchange(touched_, {});
+    }
+
+    void publish(const PoolRows& rows, const Row& shares) {
+        WeighedPool& pool = pools[rows.pool];
+        pool.outside = rows.outside;
+        const bool odd = by_entering_.empty() || pool.outside != by_entering_.rbegin()->first;
+        odd ? (void)odd_.insert(rows.pool) : (void)odd_.erase(rows.pool);
+        for (std::size_t i = 0; i < rows.places.size(); ++i) {
+            Place& place = *rows.places[i];
+            if (std::exchange(place.share, shares[i]) != shares[i]) queue(*place.member);
+        }
+    }
+    // What there is to tell of one whose figures changed. One that has closed leaves its pools; one that is gone is
+    // forgotten.
+    Wish take_wish(Member& member) {
+        const Standing& seen = member.seen;
+        if (!seen.open) leave_pools(member);
+        Wish wish{seen.entry.server, seen.entry.zone, {}, seen.steady, member.cold, seen.gone()};
+        for (const auto& [pool, place] : member.places) {
+            if (place->share != 0) wish.shares.emplace_back(pool, place->share);
+        }
+        if (wish.last) erase(member);
+        return wish;
+    }
+
+    // The pools that hold a server.
+    std::vector<std::size_t> peopled() const {
+        std::vector<std::size_t> peopled;
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            if (!pools[k].places.empty()) peopled.push_back(k);
+        }
+        return peopled;
+    }
+    // `ceiling`: of a member's share, by its part of the sizes.
+    template <class Ceiling>
+    PoolRows rows_of(std::size_t number, Ceiling ceiling) {
+        WeighedPool& pool = pools[number];
+        PoolRows rows{number};
+        rows.places.reserve(pool.places.size());
+        for (auto& [id, place] : pool.places) {
+            if (place.member->seen.open) rows.places.push_back(&place);
+        }
+        rows.index.reserve(rows.places.size());
+        for (const Place* const place : rows.places) rows.index.push_back(place->member->index);
+        rows.weight = row_of(rows.places, [](const Place& place) { return place.weight; });
+        rows.share = row_of(rows.places, [](const Place& place) { return place.share; });
+        rows.size = row_of(rows.places, [&pool](const Place& place) {
+            const ListedServer& entry = place.member->seen.entry;
+            return open_to(pool.like, pool.binding.zone, entry) ? entry.size : 0;
+        });
+        rows.sizes = rows.places.empty() ? 0 : rows.size.sum();
+        rows.outside = outside(pool);
+        rows.most = Row(rows.places.size());
+        for (std::size_t i = 0; i < rows.places.size(); ++i) {
+            rows.most[i] = ceiling(*rows.places[i]->member, rows.size[i] / rows.sizes);
+        }
+        return rows;
+    }
+
+ private:
+    void add_pool(const Method& like, std::optional<ZoneId> home) {
+        const std::size_t number = pools.size();
+        WeighedPool& pool = pools.emplace_back();
+        pool.binding.table = {static_cast<int>(number) + 1}, pool.binding.zone = home, pool.like = like;
+        if (like.only_kinds.empty()) open_to_any_kind_.push_back(number);
+        for (const KindId kind : std::set(like.only_kinds.begin(), like.only_kinds.end()))
+            by_kind_[kind].push_back(number);
+    }
+    void enter(Member& member, double weight) {
+        member.entering = weight, entering_changed_ = true;
+        by_entering_.emplace(weight, &member);
+        for (const auto& [pool, place] : member.places) place->weight = weight;
+    }
+    void join_pools(Member& member) {
+        std::vector<std::size_t> candidates = open_to_any_kind_;
+        if (const auto at = by_kind_.find(member.seen.entry.kind); at != by_kind_.end())
+            candidates.insert(candidates.end(), at->second.begin(), at->second.end());
+        for (const std::size_t k : candidates) {
+            WeighedPool& pool = pools[k];
+            if (!open_to(pool.like, pool.binding.zone, member.seen.entry)) continue;
+            const auto [at, added] = pool.places.try_emplace(member.id, Place{&member, member.entering, 0});
+            if (added) member.places.emplace_back(k, &at->second);
+        }
+        std::sort(member.places.begin(), member.places.end());
+    }
+
+    // A new weight where it has no place.
+    void set_entering(Member& member, double weight) {
+        if (weight == member.entering) return;
+        by_entering_.erase({member.entering, &member});
+        member.entering = weight, entering_changed_ = true;
+        by_entering_.emplace(weight, &member);
+    }
+    void leave_pools(Member& member) {
+        for (const auto& [pool, place] : member.places) pools[pool].places.erase(member.id);
+        member.places.clear();
+    }
+    void erase(Member& member) {
+        if (member.warming) std::erase(warming_, &member);
+        members_.erase(members_.find(*member.id));
+    }
+
+    // Where sums are rounded depends on the highest weight of all open servers, so a pool's shares depend, by a rounding,
+    // on servers outside it. Nearly always the highest is the same before and after, and then only pools that may hold
+    // all servers of that weight have to be looked at.
+    double outside(const WeighedPool& pool) const {
+        if (pool.places.size() >= by_entering_.size() && holds_all(pool)) return -kInfinity;
+        for (auto at = by_entering_.rbegin(); at != by_entering_.rend(); ++at) {
+            if (!pool.places.contains(at->second->id)) return at->first;
+        }
+        return -kInfinity;
+    }
+    bool holds_all(const WeighedPool& pool) const {
+        std::size_t open = 0;
+        for (const auto& [id, place] : pool.places) open += place.member->seen.open;
+        return open == by_entering_.size();
+    }
+    void touch_by_outside() {
+        if (!std::exchange(entering_changed_, false) || by_entering_.empty()) return;
+        const auto& [highest, its] = *by_entering_.rbegin();
+        if (std::exchange(highest_, highest) != highest) return touch_all();
+        std::set<std::size_t> suspects = odd_;
+        for (const auto& [pool, place] : its->places) suspects.insert(pool);
+        for (const std::size_t k : suspects) {
+            if (outside(pools[k]) != pools[k].outside) touched_.insert(k);
+        }
+    }
+
+    static constexpr double kInfinity = std::numeric_limits<double>::infinity();
+    std::map<ServerId, Member> members_;
+    std::map<KindId, std::vector<std::size_t>> by_kind_;
+    std::vector<std::size_t> open_to_any_kind_;
+    std::set<std::pair<double, Member*>> by_entering_;  // the open ones
+    std::set<std::size_t> odd_;  // pools whose `outside` is not the highest weight of all
+    double highest_ = 0;
+    bool entering_changed_ = false;
+    std::set<std::size_t> touched_;
+    std::vector<Member*> warming_, queued_;
+};
+
+}  // namespace micaroad
