Scale run on sockets: a planner that ends is tested

Cause: that a process ends in the middle of a run was handled, and no test saw it.

Change: the small run plays a planner that ends at once: exit 1, the size is left out, why is said on standard error and in the results.

--- a/tests/scale_wire_test.sh
+++ b/tests/scale_wire_test.sh
@@ -55,4 +55,11 @@
 [ $code -eq 1 ] || fail "beyond the bound: exit $code"
 grep -q 'BEYOND THE BOUND' "$dir/err" || fail "nothing said of the bound"
 grep -q '"passed": false' "$dir/result" || fail "nothing of the bound in the results"
+
+# A planner that ends is seen, and the size is said to be left out.
+"$scale" --planner /bin/false --hollow 1 --proxies 1 --servers 60 --output "$dir/result" 2>"$dir/err"
+code=$?
+[ $code -eq 1 ] || fail "a planner that ends: exit $code"
+grep -q 'left out: real planner . has ended' "$dir/err" || fail "nothing said of a planner that ends"
+grep -q '"why": "real planner . has ended' "$dir/result" || fail "nothing of a planner that ends in the results"
 exit $bad
