--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -5,13 +5,13 @@
 #include <signal.h>
 #include <unistd.h>
 
-#include <chrono>
 #include <random>
 #include <thread>
 
 #include "background/worker.hpp"
 #include "command/command.hpp"
 #include "command/version.hpp"
+#include "daemon/clock.hpp"
 #include "operators/file.hpp"
 #include "record/convert.hpp"
 #include "record/recorder.hpp"
@@ -20,14 +20,6 @@
 namespace micaroad::command {
 namespace {
 
-Clock clock_from_now() {
-    using std::chrono::steady_clock, std::chrono::system_clock;
-    const auto epoch = std::chrono::duration_cast<Span>(system_clock::now().time_since_epoch());
-    return [epoch, begun = steady_clock::now()] {
-        return Instant{epoch + std::chrono::duration_cast<Span>(steady_clock::now() - begun)};
-    };
-}
-
 // The list at the start has no version yet that the keeper's could be older than.
 StartFile start_of(const routing::Plan& plan, Instant now) {
     const routing::Roster roster(plan);
--- /dev/null
+++ b/src/daemon/clock.cpp
@@ -0,0 +1,15 @@
+#include "daemon/clock.hpp"
+
+#include <chrono>
+
+namespace micaroad {
+
+Clock clock_from_now() {
+    using std::chrono::steady_clock, std::chrono::system_clock;
+    const auto epoch = std::chrono::duration_cast<Span>(system_clock::now().time_since_epoch());
+    return [epoch, begun = steady_clock::now()] {
+        return Instant{epoch + std::chrono::duration_cast<Span>(steady_clock::now() - begun)};
+    };
+}
+
+}  // namespace micaroad
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,27 +4,17 @@
 #include <signal.h>
 #include <unistd.h>
 
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <thread>
 
+#include "daemon/clock.hpp"
 #include "daemon/program.hpp"
 
 namespace {
 
-// Instants count from the Unix epoch, as list entries do, but go on evenly when the system's clock is set.
-micaroad::Clock clock_from_now() {
-    using std::chrono::steady_clock, std::chrono::system_clock;
-    const auto epoch = std::chrono::duration_cast<micaroad::Span>(system_clock::now().time_since_epoch());
-    return [epoch, begun = steady_clock::now()] {
-        return micaroad::Instant{epoch +
-                                 std::chrono::duration_cast<micaroad::Span>(steady_clock::now() - begun)};
-    };
-}
-
 constexpr int kCantLoad = 2;
 
 // Commands other than the daemon stand in a library beside the program, which only they load: the daemon
@@ -58,7 +48,7 @@
     pthread_sigmask(SIG_BLOCK, &heard, nullptr);
     micaroad::Log log(STDERR_FILENO);
     try {
-        micaroad::Program program(micaroad::read_start_file(std::getenv), clock_from_now(), log);
+        micaroad::Program program(micaroad::read_start_file(std::getenv), micaroad::clock_from_now(), log);
         std::thread ear([&heard, &program] {
             int signal = 0;
             while (sigwait(&heard, &signal) == 0 && signal == SIGHUP) program.reload(std::getenv);
--- a/tests/program_helpers.hpp
+++ b/tests/program_helpers.hpp
@@ -6,6 +6,7 @@
 #include <future>
 
 #include "net_helpers.hpp"
+#include "daemon/clock.hpp"
 #include "daemon/program.hpp"
 
 namespace micaroad::test {
@@ -38,13 +39,6 @@
     return std::async(std::launch::async, std::move(work));
 }
 
-// Counts from the Unix epoch, as the starts of servers do.
-inline Clock clock_of_day() {
-    return [] {
-        return Instant{std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch())};
-    };
-}
-
 inline StartFile start_file(const std::string& discovery) {
     StartFile start;
     start.name = "n1", start.listen = "127.0.0.1:0", start.discovery = discovery;
--- a/tests/short_days_test.cpp
+++ b/tests/short_days_test.cpp
@@ -275,7 +275,7 @@
         StartFile start = started_with("", servers);
         start.terms.planners = kPlanners, start.terms.proxies = kPlanners * kProxiesOfEach;
         start.bounds.proxies = start.terms.proxies;
-        planners.push_back(std::make_unique<Running>(text_of(discovery.listener.local()), start, WatchPatience{}, clock_of_day()));
+        planners.push_back(std::make_unique<Running>(text_of(discovery.listener.local()), start, WatchPatience{}, clock_from_now()));
     }
     Proxies proxies;
     for (int n = 0; n < kPlanners; ++n) {
