Test: signals no longer loses its folder to a child, nor waits without end

Cause: seen once as a hang of 20 minutes and once in 10 further runs as "No such file or directory" from its second case on: the folder was gone. A child of the shell that SIGTERM meets before it has become the daemon has the shell's EXIT trap still, and removes the folder (the cases of 0 and 1 ms come that early). The loops that wait for a log line then never ended.

Change: the trap does its work in the shell alone; a line is waited for 10 s, and no longer than the daemon lives, and its lack is a failure.

--- a/tests/signals_test.sh
+++ b/tests/signals_test.sh
@@ -4,7 +4,8 @@
 micaroad=$1
 dir=$(mktemp -d)
 bad=0 pid=
-trap '[ -n "$pid" ] && kill -9 "$pid" 2>/dev/null; rm -rf "$dir"' EXIT
+# Only of this shell: a child that SIGTERM meets before it has become the daemon runs the trap as well.
+trap '[ "$BASHPID" = $$ ] || exit 143; [ -n "$pid" ] && kill -9 "$pid" 2>/dev/null; rm -rf "$dir"' EXIT
 write() { # discovery
     cat >"$dir/start.json" <<J
 {"name":"n1","listen":"127.0.0.1:0","discovery":"$1","seed":"1","limits":{"sockets":256,"memory_mb":32},
@@ -14,6 +15,14 @@
 }
 begin() { write 127.0.0.1:1; : >"$dir/log"; LB_CONFIG="$dir/start.json" "$micaroad" 2>>"$dir/log" & pid=$!; }
 ready() { until grep -q 'n1: serving' "$dir/log"; do kill -0 "$pid" || return; sleep 0.01; done; }
+logs() { # what is to be logged; 10 s at most, and no longer than the daemon lives
+    for _ in {1..1000}; do
+        grep -q "$1" "$dir/log" && return
+        kill -0 "$pid" || break
+        sleep 0.01
+    done
+    echo "FAILED: not logged: $1"; cat "$dir/log"; bad=1
+}
 ends() { # what, the codes that are fine, seconds at most
     local begun=$EPOCHREALTIME code
     wait "$pid"; code=$?; pid=
@@ -27,8 +36,8 @@
 begin; ready; kill -TERM "$pid"; kill -HUP "$pid" 2>/dev/null; ends "SIGTERM and SIGHUP together" 0 700
 begin; ready
 for port in 2 1 3 1 2; do write 127.0.0.1:$port; kill -HUP "$pid"; done
-until grep -q 'discovery is at 127.0.0.1:2' "$dir/log"; do sleep 0.01; done
+logs 'discovery is at 127.0.0.1:2'
 printf '{"discovery":' >"$dir/start.json"; kill -HUP "$pid"
-until grep -q 'nothing is changed' "$dir/log"; do sleep 0.01; done
+logs 'nothing is changed'
 kill -TERM "$pid"; ends "there and back, and half a file" 0 700
 exit $bad
