--- a/bench/scale/wire_hollow.cpp
+++ b/bench/scale/wire_hollow.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "protocol/http.hpp"
@@ -17,10 +18,11 @@
 namespace {
 
 constexpr Milliseconds kRedialDiscovery{100};
-constexpr int kMostNonces = 65'536;                  // nonces are below it
-constexpr std::size_t kMostUnread = 128 * 1024;      // a stream that leaves more unread is reset
-constexpr std::size_t kLongestMessage = 256 * 1024;  // bytes
-constexpr double kMostCredit = 10'000;               // messages that a planner may be behind
+constexpr int kMostNonces = 65'536;                     // nonces are below it
+constexpr std::size_t kMostUnread = 128 * 1024;         // a stream that leaves more unread is reset
+constexpr std::size_t kLongestMessage = 256 * 1024;     // bytes
+constexpr std::size_t kLongestList = 16 * 1024 * 1024;  // bytes, as ListFeed counts them
+constexpr double kMostCredit = 10'000;                  // messages that a planner may be behind
 constexpr std::string_view kAlive = "alive\r\n";
 
 Names names_of_world(const WireWorld& sizes) {
@@ -35,7 +37,7 @@
 class ListWatch : public ChannelOwner {
  public:
     ListWatch(Loop& loop, const LoopbackAddress& discovery, const WireWorld& sizes)
-        : loop_(loop), discovery_(discovery), reader_(names_of_world(sizes)) {
+        : loop_(loop), discovery_(discovery), names_(names_of_world(sizes)) {
         dial();
     }
 
@@ -46,7 +48,7 @@
     void dial() {
         drop(loop_, channel_);
         http_ = {};
-        lines_ = {};
+        lists_.emplace(names_, protocol::ListFraming::line, kLongestList);
         Descriptor socket = begin_connect(discovery_);
         if (!socket.open()) return dial_later();
         channel_ = std::make_unique<Channel>(loop_, Role::planner, std::move(socket), true, *this);
@@ -61,15 +63,13 @@
     }
     void received(std::string_view bytes) override {
         http_.feed(bytes, [this](std::string_view body) {
-            lines_.feed(body, [this](std::string_view line) { take(line); });
+            lists_->feed(body, [this](const std::optional<protocol::ListSaid>& said) { take(said); });
         });
     }
     void ended() override { dial_later(); }
 
-    void take(std::string_view line) {
-        if (line.empty()) return;
-        const auto said = reader_.read(line);
-        if (!said) return;
+    void take(const std::optional<protocol::ListSaid>& said) {
+        if (!said) return;  // an empty line: a heartbeat
         if (said->list.form == event::List::Form::complete) listed_.clear();
         for (const ListedServer& server : said->list.servers) {
             if (server.phase == Phase::gone)
@@ -82,9 +82,9 @@
 
     Loop& loop_;
     const LoopbackAddress discovery_;
-    protocol::ListReader reader_;
+    Names names_;
     protocol::HttpReader http_;
-    protocol::ObjectLines lines_;
+    std::optional<protocol::ListFeed> lists_;  // of the body of this connection
     std::unique_ptr<Channel> channel_;
     std::int64_t version_ = 0;  // 0: the whole list is asked for
     std::set<std::string> listed_;
--- a/src/balance.cpp
+++ b/src/balance.hpp
@@ -8,6 +8,8 @@
 //   5. withdrawals at once, bindings and changes in what room is left  (Channel)
 //   6. slices and their owners                                   (SliceKeeper)
 //   7. subsets where the channel can't carry whole tables        (Channel::deal_out)
+#pragma once
+
 #include <deque>
 #include <map>
 #include <random>
@@ -20,11 +22,11 @@
 #include "notes.hpp"
 #include "tables.hpp"
 
-namespace micaroad {
-namespace {
+namespace micaroad::decisions {
 
 // The design starts at 5 s. Shorter steps act again before what the last one did is heard.
 constexpr Span kStepEvery = std::chrono::seconds(4);
+constexpr Span kTick = std::chrono::milliseconds(100);  // short beside a message's way
 constexpr double kMemory = 0.25;  // of what was heard before a step: one alone sees few RPCs a server
 
 struct Desk {  // what every part may look at
@@ -351,6 +353,9 @@
     Ledger ledger{};       // charged with no fewer lines than are written
     double allowance = 0; int joinings = 0;  // lines that learnt changes may use; how many joined
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
+    std::deque<ProxyId> few_bound{};  // to tables of their own, in order; some have left since
+    bool levels_told = false;
+    int owed = 0;  // withdrawals that each proxy which is not bound has to hear, at the last plan
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { tables.pools.push_back({note}); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
@@ -365,7 +370,7 @@
     }
     void on(const event::ProxyLeft& note) {
         std::erase_if(unbound, [&](auto& at) { return std::get<ProxyId>(at.first) == note.proxy; });
-        tables.release(note.proxy), ledger.left(note.proxy);
+        clear_own_table(note.proxy), tables.release(note.proxy), ledger.left(note.proxy);
     }
     void on(const event::MarkApplied& n) { if (ledger.answered(n.proxy, n.mark)) answered = desk.now; }
     void on(const Wish& note) {
@@ -388,11 +393,11 @@
         ledger.pass(pace * span, kSurePace * pace * span, silent);
         allowance = std::min(allowance + pace / 2 * span, pace * 2);
         if (stale || again) make_plan();
-        if (subsets.size() > 1) bind_joined(), even_out();
+        if (subsets.size() > 1) bind_joined(), bind_whole(), even_out();
         // Withdrawals wait while proxies are bound that would otherwise have to be told each.
         const bool soon = subsets.size() > 1 && !unbound.empty();
         if (!soon || desk.now >= oldest + desk.terms.drain_grace / 4) send_changes();
-        if (subsets.size() == 1) bind_joined();
+        if (subsets.size() == 1) bind_joined(), bind_whole();
         if (const auto mark = ledger.mark()) desk.orders.push_back(order::Mark{*mark, false});
     }
 
@@ -479,7 +484,7 @@
             const auto most = std::ranges::max(std::views::iota(std::size_t{0}, subsets.size()), {}, its);
             if (subsets[most].all.empty()) return;
             const ProxyId proxy = *subsets[most].all.begin();
-            const auto [zone, rate, from] = bound.at(proxy);
+            const auto [zone, rate, from, few] = bound.at(proxy);
             const std::size_t to = lightest(zone, rate);
             if (to == most || load(most, zone, 0) < kUneven * load(to, zone, rate)) return;
             cost = bind(proxy, zone, rate, to, std::min(room(1), allowance));
@@ -509,6 +514,7 @@
         for (const auto& [left, entry] : tables.withdrawn) if (again) tables.queue(*entry);
         for (Entry* const entry : tables.take_queued()) plan_for(*entry, old);
         pressed = static_cast<int>(tables.leaving.size()), oldest = desk.now;
+        owed = pressed + static_cast<int>(tables.withdrawn.size());
         if (pressed > 0) oldest = std::min(oldest, tables.leaving.begin()->first);
         stale = again = fresh = false;
     }
@@ -636,7 +642,8 @@
                     desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
             }
-            sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = true;
+            sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = levels_told = true;
+            for (const auto& [proxy, its] : bound) if (its.few) tell_levels(own_table(proxy), desk.orders);
             for (double& its : lines) its += all;
         }
         for (; !handovers.empty() && fits(0, 1, -1, joinings); handovers.pop_front(), pressing = true) {
@@ -673,31 +680,100 @@
         if (learnt) next_learnt = desk.now + std::max(kMergeLearnt, share * 10 / 3);
     }
 
-    double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {  // what it cost
+    std::size_t own_table(ProxyId proxy) const { return subsets.size() + proxy.value; }  // as a subset's is
+    void clear_own_table(ProxyId proxy) {
+        const auto at = bound.find(proxy);
+        for (std::size_t k = 0; at != bound.end() && at->second.few && k < tables.pools.size(); ++k) {
+            desk.orders.push_back(order::ClearTable{table_of(k, own_table(proxy))});
+        }
+    }
+    void tell_levels(std::size_t table, std::vector<Order>& orders) const {
+        const FurtherTry how = sent_never ? FurtherTry::never : kFurther;
+        for (std::size_t k = 0; k < tables.pools.size(); ++k) for (const MethodId m : binding(k).methods) {
+            orders.push_back(order::SetLevel{table_of(k, table), {m}, top * sent_levels[m.value], how});
+        }
+    }
+    double cost_of(ZoneId zone, std::size_t subset) const {  // lines of a binding at most, 0 of an empty one
         double lines = 0, its = 0;  // its: tables
         for (std::size_t k = 0; k < tables.pools.size(); ++k) if (meant_for(k, zone)) {
             lines += tables.pools[k].bind_lines[subset], ++its;
         }
-        const double cost = head + lines + its + 1.0 * sent_levels.size();
-        if (lines == 0 || cost > most) return 0;
+        return lines == 0 ? 0 : head + lines + its + 1.0 * sent_levels.size();
+    }
+    double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {  // what it cost
+        const double cost = cost_of(zone, subset);
+        if (cost == 0 || cost > most) return 0;
+        std::vector<Order> orders;
         for (std::size_t k = 0; k < tables.pools.size(); ++k) if (meant_for(k, zone)) {
-            desk.orders.push_back(order::Bind{table_of(k, subset), binding(k).methods, proxy});
+            orders.push_back(order::Bind{table_of(k, subset), binding(k).methods, proxy});
         }
-        tables.bind(proxy, {zone, rate, subset}), ledger.charge(proxy, cost);
+        return take_binding(proxy, {zone, rate, subset}, orders, cost);
+    }
+    // To a table of its own with a few of the subset's servers that are not out, others for each proxy.
+    double bind_few(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {
+        double cost = head + 1.0 * sent_levels.size(); bool any = false;
+        std::vector<Order> orders;
+        if (levels_told) tell_levels(own_table(proxy), orders);
+        for (std::size_t k = 0; k < tables.pools.size(); ++k) {
+            if (!meant_for(k, zone)) continue;
+            for (const Line* const line : few_of(k, subset, proxy)) {
+                cost += line->entry->shaky ? 2 : 1, any = true;
+                const TableId own = table_of(k, own_table(proxy));
+                orders.push_back(order::SetLine{own, *line->entry->id, line->sent});
+            }
+            orders.push_back(order::Bind{table_of(k, own_table(proxy)), binding(k).methods, proxy}), ++cost;
+        }
+        return take_binding(proxy, {zone, rate, subset, true}, orders, any && cost <= most ? cost : 0);
+    }
+    std::vector<const Line*> few_of(std::size_t pool, std::size_t subset, ProxyId proxy) const {
+        std::vector<const Line*> lines;
+        for (const auto& [id, line] : tables.pools[pool].lines) {
+            if (line.entry->subset == subset && line.sent > 0 && !line.entry->out) lines.push_back(&line);
+        }
+        constexpr auto few = static_cast<std::size_t>(kLeastSubset);
+        if (lines.size() <= few) return lines;
+        std::ranges::rotate(lines, lines.begin() + static_cast<int>(proxy.value * few % lines.size()));
+        lines.resize(few);
+        return lines;
+    }
+    double take_binding(ProxyId proxy, const Bound& as, const std::vector<Order>& orders, double cost) {
+        if (cost == 0) return 0;
+        desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
+        clear_own_table(proxy), tables.bind(proxy, as), ledger.charge(proxy, cost);
+        if (as.few) few_bound.push_back(proxy);
         return cost;
     }
 
+    // Guards against many who join with another planner's tables amid drains, where the withdrawals that each
+    // is owed take more lines than its binding: it is bound in their room; and where whole tables of all would
+    // take longer than the grace, with a few servers first. It costs a second binding.
     void bind_joined() {
         while (!unbound.empty() && !subsets.empty()) {
             const auto [place, loose] = *unbound.begin();
             const auto [standing, order, proxy] = place;
             const double rate = std::max(-order, 1e-3);
+            const std::size_t subset = lightest(loose.zone, rate);
+            const double cost = cost_of(loose.zone, subset);
+            const bool urgent = owed > cost;
+            const double in_grace = kSurePace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
             // What does not fit waits, and its proxy goes on by what it holds.
-            const double most = room(ledger.waiting() > 0 ? -1 : 0);
-            if (bind(proxy, loose.zone, rate, lightest(loose.zone, rate), most) == 0) break;
+            const double most = room(ledger.waiting() > 0 && !urgent ? -1 : 0);
+            const bool few = urgent && ledger.waiting() + cost * unbound.size() > in_grace;
+            if (!(few && bind_few(proxy, loose.zone, rate, subset, most) > 0) &&
+                bind(proxy, loose.zone, rate, subset, most) == 0) break;
             unbound.erase(place);
         }
     }
+    // Who has a few servers gets the others.
+    void bind_whole() {
+        for (; unbound.empty() && !few_bound.empty(); few_bound.pop_front()) {
+            const ProxyId proxy = few_bound.front();
+            const auto at = bound.find(proxy);
+            if (at == bound.end() || !at->second.few) continue;
+            const auto [zone, rate, subset, few] = at->second;
+            if (bind(proxy, zone, rate, subset, room(ledger.waiting() > 0 ? -1 : 0)) == 0) break;
+        }
+    }
 };
 
 // ---- Slices ----------------------------------------------------------------------------------------------
@@ -740,96 +816,7 @@
     }
 };
 
-}  // namespace
-
-// ---- The planner: events to notes, one loop, one timer ---------------------------------------------------
-
-class Planner::Impl {
-   public:
-    Impl(Terms terms, std::uint64_t seed)
-        : desk_{std::move(terms), std::minstd_rand(static_cast<std::minstd_rand::result_type>(seed))} {
-        desk_.orders.push_back(order::StartTimer{kTimer, kTick});
-        if (desk_.terms.must_subscribe) agenda_.emplace(Instant{}, Resubscribe{});
-    }
-
-    void hear(Event event) { heard_.push_back(std::move(event)); }
-
-    std::vector<Order> decide(Instant now) {
-        desk_.now = now;
-        for (Event& event : std::exchange(heard_, {})) std::visit([this](auto& e) { apply(e); }, event);
-        for (; !agenda_.empty() && agenda_.begin()->first <= now; agenda_.erase(agenda_.begin())) {
-            channel_.inbox.push_back(agenda_.begin()->second);
-        }
-        // Servers speak first, the channel last: when all else is said.
-        for (Server* actor : std::exchange(spoken_to_, {})) empty(*actor);
-        keeper_.inbox.push_back(Pulse{}), gate_.inbox.push_back(Pulse{}), weigher_.inbox.push_back(Pulse{});
-        empty_all(keeper_, gate_, weigher_, channel_);
-        channel_.inbox.push_back(Pulse{});
-        empty(channel_);
-        return std::exchange(desk_.orders, {});
-    }
-
-   private:
-    static constexpr TimerId kTimer{1};
-    static constexpr Span kTick = std::chrono::milliseconds(100);  // short beside a message's way
-
-    void apply(event::List& list) {
-        if (list.form == event::List::Form::unavailable) {
-            // Asked for anew after a wait that instances do not share.
-            return (void)agenda_.emplace(desk_.now + Span{2'000 + desk_.chance() % 8'000}, Resubscribe{});
-        }
-        std::set<ServerId> named;
-        for (const ListedServer& entry : list.servers) {
-            if (entry.server.value.empty()) continue;
-            named.insert(entry.server);
-            const auto at = servers_.try_emplace(entry.server, Part{}, desk_, weigher_, keeper_, gate_).first;
-            tell(at->second, Listed{entry, !heard_any_});
-        }
-        heard_any_ = true;
-        if (list.form == event::List::Form::changes) return;
-        for (auto& [id, actor] : servers_) if (!named.contains(id)) tell(actor, Unlisted{});
-    }
-    void apply(event::TimerDue& due) {
-        if (due.timer == kTimer) desk_.orders.push_back(order::StartTimer{kTimer, kTick});
-        if (due.timer != kTimer || desk_.now < next_step_) return;
-        next_step_ = desk_.now + desk_.step;
-        std::erase_if(servers_, [](auto& at) { return at.second.inbox.empty() && at.second.self.gone(); });
-        gate_.inbox.push_back(Beat{});
-        for (auto& [id, actor] : servers_) tell(actor, Beat{});
-    }
-    void apply(event::Outcomes& met) {
-        const auto at = servers_.find(met.server);
-        met.bad = std::min(met.bad, met.tries);
-        if (at == servers_.end() || !sound(met, desk_.terms)) return;
-        tell(at->second, met), channel_.inbox.push_back(met);
-    }
-    template <class Other>
-    void apply(Other& event) {  // what can't be meant, or means nothing to any part, is not acted on
-        if (!sound(event, desk_.terms)) return;
-        const auto offer = [&event](auto& part) {
-            if constexpr (requires { part.on(event); }) part.inbox.push_back(event);
-        };
-        offer(keeper_), offer(gate_), offer(weigher_), offer(channel_);
-    }
-
-    void tell(Server& server, Note note) {
-        server.inbox.push_back(std::move(note)), spoken_to_.push_back(&server);
-    }
-    Desk desk_;
-    Instant next_step_{};
-    std::multimap<Instant, Note> agenda_;  // every due time but the periodic one
-    std::vector<Event> heard_;
-    bool heard_any_ = false;  // a list
-    Channel channel_{{}, desk_};
-    Gate gate_{{}, desk_, weigher_, channel_};
-    Weigher weigher_{desk_, channel_};
-    SliceKeeper keeper_{{}, desk_, channel_};
-    std::map<ServerId, Server> servers_;
-    std::vector<Server*> spoken_to_;
-};
-
-Planner::Planner(Terms terms, std::uint64_t seed) : impl_(std::make_shared<Impl>(std::move(terms), seed)) {}
-void Planner::hear(Event event) { impl_->hear(std::move(event)); }
-std::vector<Order> Planner::decide(Instant now) { return impl_->decide(now); }
+// When discovery could not be asked: a wait that instances do not share.
+inline Span resubscribe_after(Desk& desk) { return Span{2'000 + desk.chance() % 8'000}; }
 
-}  // namespace micaroad
+}  // namespace micaroad::decisions
--- a/src/memberships.hpp
+++ b/src/memberships.hpp
@@ -1,6 +1,6 @@
 // Which servers each pool holds, and what each server has in each of its pools: containers and look-ups that are kept
 // by changes, so that nobody has to walk all servers or all pools. They decide nothing: weights, shares and ceilings are
-// set by balance.cpp.
+// set by balance.hpp.
 #pragma once
 
 #include <cmath>
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -1,5 +1,5 @@
 // The notes that the parts of the module put into each other's inboxes, and the loop that empties these. What is done
-// on a note, and so every decision, stands in balance.cpp.
+// on a note, and so every decision, stands in balance.hpp.
 #pragma once
 
 #include <cmath>
@@ -29,7 +29,12 @@
 };
 struct Met { event::Outcomes said; ZoneId at; };  // with the zone of the server
 struct Loose { ZoneId zone; int turn; };  // a proxy that is joined, not bound; its place among all joinings
-struct Bound { ZoneId zone; double rate; std::size_t subset; };  // one that is; RPCs a second
+struct Bound {  // one that is
+    ZoneId zone;
+    double rate = 0;  // RPCs a second
+    std::size_t subset = 0;
+    bool few = false;  // to a table of its own with a few servers of the subset
+};
 // Rank (0: can't wait, 1: learnt, 2: tidies up), size, server, pool (below 0: it leaves or comes back).
 using Change = std::tuple<int, double, ServerId, int>;
 // A server whose figures have changed; shares by pool, those of 0 left out. last: nobody speaks of it any more.
--- a/src/tables.hpp
+++ b/src/tables.hpp
@@ -1,6 +1,6 @@
 // What the shared tables hold of each server and what they are to hold, and the ordered plan of changes: containers that
 // are kept by changes, so that nobody has to walk all servers or all pools. They decide nothing: what is wanted, planned
-// and sent is set by balance.cpp.
+// and sent is set by balance.hpp.
 #pragma once
 
 #include <algorithm>
--- a/tests/drain_oracle_test.cpp
+++ b/tests/drain_oracle_test.cpp
@@ -27,7 +27,7 @@
 
 constexpr Span kTick = s(0.05), kLate = s(0.3), kToldAtLatest = s(6), kLinesStay = s(50);
 
-enum class Trouble { usual, roll, herd, zone, join };
+enum class Trouble { usual, roll, herd, zone, join, takeover };
 
 // What a day is played with. The channel is told to send lines_per_second, and sends `pace` of that.
 struct Day {
@@ -38,6 +38,7 @@
     Span lasts = s(150);
     double marks_lost = 0;  // of the answers to marks
     bool compared = false;  // with what the plain reference orders
+    Span grace = s(22.4);   // of a drain, but on the usual day
 
     Terms terms() const {
         Terms terms = test::terms();
@@ -45,10 +46,10 @@
         terms.lines_per_second = lines_per_second, terms.lines_waiting_most = lines_waiting_most;
         terms.message_longest = s(0.45);
         terms.warm_after = s(18), terms.cold_capacity = 0.17;
-        if (trouble != Trouble::usual) terms.drain_grace = s(22.4);
+        if (trouble != Trouble::usual) terms.drain_grace = grace;
         return terms;
     }
-    Span bare() const { return trouble == Trouble::usual ? s(2.1) : s(33.2); }
+    Span bare() const { return trouble == Trouble::usual ? s(2.1) : grace + s(10.8); }
 };
 
 struct Node {
@@ -307,6 +308,14 @@
                 break;
             case Trouble::join:
                 replace(0.6, 7, 3);
+                break;
+            case Trouble::takeover:  // a release drains servers in waves; after the second all planners but one die
+                for (int wave = 0; wave < 4; ++wave) {
+                    after(s(2 * wave), [this] { replace(0.15, 0.1, 6); });
+                }
+                after(s(2.3), [this] {
+                    for (int p = 1; p < day_.planners; ++p) stop(p);
+                });
         }
     }
     // A part of the servers leaves within some seconds; fresh ones stand in their place a moment later.
@@ -577,6 +586,13 @@
     CHECK(broken_of({"join", Trouble::join, 5, 240, 60, 200, 4'330, 1, lasts, 0.33}, 1, 3) == 0);
 }
 
+// Proxies of four planners come to the fifth within a second, with tables that hold servers which drain. The channel
+// carries their bindings within the grace, but not each withdrawal to each proxy that is not bound yet beside them.
+TEST_CASE("who joins with another planner's table leaves draining servers within the grace") {
+    const Span grace = s(2);
+    CHECK(broken_of({"takeover", Trouble::takeover, 5, 240, 120, 1'600, 4'400, 1, s(24), 0, true, grace}, 1, 4) == 0);
+}
+
 // What the module orders on the oracle's days is what its plain reference orders, to the bit.
 TEST_CASE("the reference orders the same on the oracle's days") {
     CHECK(broken_of({"usual", Trouble::usual, 2, 72, 24, 1'000, 1'000, 1, s(60), 0, true}, 1, 6) == 0);
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -386,6 +386,9 @@
     Ledger ledger{};       // charged with no fewer lines than are written
     double allowance = 0; int joinings = 0;  // lines that learnt changes may use; how many joined
     Instant counted{}, answered{}, next_pressing{}, next_learnt{}, oldest{};
+    std::deque<ProxyId> few_bound{};  // to tables of their own, in order; some have left since
+    bool levels_told = false;
+    int owed = 0;  // withdrawals that each proxy which is not bound has to hear, at the last plan
     void on(const Resubscribe&) { desk.orders.push_back(order::Subscribe{}); }
     void on(const Binding& note) { bindings.push_back(note); }
     void on(const Levels& note) { wanted_levels = note.amounts; }
@@ -418,11 +421,11 @@
         ledger.pass(pace * span, kSurePace * pace * span, silent);
         allowance = std::min(allowance + pace / 2 * span, pace * 2);
         if (stale || again) make_plan();
-        if (subsets.size() > 1) bind_joined(), even_out();
+        if (subsets.size() > 1) bind_joined(), bind_whole(), even_out();
         // Withdrawals wait while proxies are bound that would otherwise have to be told each.
         const bool soon = subsets.size() > 1 && !unbound.empty();
         if (!soon || desk.now >= oldest + desk.terms.drain_grace / 4) send_changes();
-        if (subsets.size() == 1) bind_joined();
+        if (subsets.size() == 1) bind_joined(), bind_whole();
         if (const auto mark = ledger.mark()) desk.orders.push_back(order::Mark{*mark, false});
     }
 
@@ -501,8 +504,11 @@
     }
     void release(ProxyId proxy) {
         const auto at = bound.extract(proxy);
-        Subset* const its = at ? &subsets[at.mapped().subset] : nullptr;
-        if (its) its->all.erase(proxy), its->rate -= at.mapped().rate;
+        if (!at) return;
+        subsets[at.mapped().subset].all.erase(proxy), subsets[at.mapped().subset].rate -= at.mapped().rate;
+        for (std::size_t k = 0; at.mapped().few && k < bindings.size(); ++k) {
+            desk.orders.push_back(order::ClearTable{table_of(k, own_table(proxy))});
+        }
     }
     // One proxy after the other moves from the most loaded subset.
     void even_out() {
@@ -512,7 +518,7 @@
             const auto most = std::ranges::max(std::views::iota(std::size_t{0}, subsets.size()), {}, its);
             if (subsets[most].all.empty()) return;
             const ProxyId proxy = *subsets[most].all.begin();
-            const auto [zone, rate, from] = bound.at(proxy);
+            const auto [zone, rate, from, few] = bound.at(proxy);
             const std::size_t to = lightest(zone, rate);
             if (to == most || load(most, zone, 0) < kUneven * load(to, zone, rate)) return;
             cost = bind(proxy, zone, rate, to, std::min(room(1), allowance));
@@ -557,6 +563,10 @@
                 plan.push_back({rank, first ? -kBeforeAll : -size, server, static_cast<int>(k)});
             }
         }
+        owed = pressed;
+        for (const auto& [server, entry] : servers) {
+            owed += entry.out && desk.now < entry.left + desk.terms.drain_grace + desk.terms.message_longest;
+        }
         std::sort(plan.begin(), plan.end()), stale = again = false;
     }
 
@@ -627,7 +637,8 @@
                     desk.orders.push_back(order::SetLevel{table_of(k, p), {m}, top * levels[m.value], how});
                 }
             }
-            sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = true;
+            sent_levels = levels, sent_never = never, (rank == 0 ? pressing : learnt) = levels_told = true;
+            for (const auto& [proxy, its] : bound) if (its.few) tell_levels(own_table(proxy), desk.orders);
             for (double& its : lines) its += all;
         }
         for (; !handovers.empty() && fits(0, 1, -1, joinings); handovers.pop_front(), pressing = true) {
@@ -664,22 +675,49 @@
         if (learnt) next_learnt = desk.now + std::max(kMergeLearnt, share * 10 / 3);
     }
 
-    double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most) {  // what it cost
-        double lines = 0;
+    std::size_t own_table(ProxyId proxy) const { return subsets.size() + proxy.value; }  // as a subset's is
+    void tell_levels(std::size_t table, std::vector<Order>& orders) const {
+        const FurtherTry how = sent_never ? FurtherTry::never : kFurther;
+        for (std::size_t k = 0; k < bindings.size(); ++k) for (const MethodId m : bindings[k].methods) {
+            orders.push_back(order::SetLevel{table_of(k, table), {m}, top * sent_levels[m.value], how});
+        }
+    }
+    // What a binding costs; `few`: to a table of its own with a few of the subset's servers that are not out.
+    std::pair<double, std::vector<Order>> binding(ProxyId proxy, ZoneId zone, std::size_t subset, bool few, bool empty = false) const {
+        double lines = 0, tables = 0;
         std::vector<Order> orders;
+        if (few && levels_told) tell_levels(own_table(proxy), orders);
         for (std::size_t k = 0; k < bindings.size(); ++k) {
             if (!meant_for(k, zone)) continue;
-            // Who is out is shut out with its line; who may be shut out there is let back.
-            for (const auto& [id, entry] : servers) {
-                if (entry.subset == subset && entry.sent[k] > 0) lines += entry.out || entry.shaky ? 2 : 1;
+            const TableId table = table_of(k, few ? own_table(proxy) : subset);
+            std::vector<const std::pair<const ServerId, Entry>*> its;
+            for (const auto& at : servers) {
+                const Entry& entry = at.second;
+                if (empty || entry.subset != subset || entry.sent[k] <= 0 || (few && entry.out)) continue;
+                its.push_back(&at);
+            }
+            constexpr auto most = static_cast<std::size_t>(kLeastSubset);
+            if (few && its.size() > most) {
+                std::ranges::rotate(its, its.begin() + static_cast<int>(proxy.value * most % its.size()));
+                its.resize(most);
             }
-            orders.push_back(order::Bind{table_of(k, subset), bindings[k].methods, proxy});
+            for (const auto* at : its) {
+                // Who is out is shut out with its line; who may be shut out there is let back.
+                lines += at->second.out || at->second.shaky ? 2 : 1;
+                if (few) orders.push_back(order::SetLine{table, at->first, at->second.sent[k]});
+            }
+            orders.push_back(order::Bind{table, bindings[k].methods, proxy}), ++tables;
         }
-        const double cost = head + lines + 1.0 * orders.size() + 1.0 * sent_levels.size();
-        if (lines == 0 || cost > most) return 0;
+        return {head + lines + tables + 1.0 * sent_levels.size(), orders};
+    }
+    double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double most, bool few = false) {
+        const auto [cost, orders] = binding(proxy, zone, subset, few);
+        const bool any = cost > binding(proxy, zone, subset, few, true).first;
+        if (!any || cost > most) return 0;
         desk.orders.insert(desk.orders.end(), orders.begin(), orders.end());
-        release(proxy), ledger.charge(proxy, cost), bound[proxy] = {zone, rate, subset};
+        release(proxy), ledger.charge(proxy, cost), bound[proxy] = {zone, rate, subset, few};
         subsets[subset].all.insert(proxy), subsets[subset].rate += rate;
+        if (few) few_bound.push_back(proxy);
         return cost;
     }
 
@@ -688,12 +726,27 @@
             const auto [place, loose] = *unbound.begin();
             const auto [standing, order, proxy] = place;
             const double rate = std::max(-order, 1e-3);
+            const std::size_t subset = lightest(loose.zone, rate);
+            const double in_grace = kSurePace * seconds(desk.terms.drain_grace) * desk.terms.lines_per_second;
+            const double cost = binding(proxy, loose.zone, subset, false).first;
+            const bool urgent = owed > cost;
             // What does not fit waits, and its proxy goes on by what it holds.
-            const double most = room(ledger.waiting() > 0 ? -1 : 0);
-            if (bind(proxy, loose.zone, rate, lightest(loose.zone, rate), most) == 0) break;
+            const double most = room(ledger.waiting() > 0 && !urgent ? -1 : 0);
+            const bool few = urgent && ledger.waiting() + cost * unbound.size() > in_grace;
+            if (!(few && bind(proxy, loose.zone, rate, subset, most, true) > 0) &&
+                bind(proxy, loose.zone, rate, subset, most) == 0) break;
             unbound.erase(place);
         }
     }
+    void bind_whole() {
+        for (; unbound.empty() && !few_bound.empty(); few_bound.pop_front()) {
+            const ProxyId proxy = few_bound.front();
+            const auto at = bound.find(proxy);
+            if (at == bound.end() || !at->second.few) continue;
+            const auto [zone, rate, subset, few] = at->second;
+            if (bind(proxy, zone, rate, subset, room(ledger.waiting() > 0 ? -1 : 0)) == 0) break;
+        }
+    }
 };
 
 // ---- Slices ----------------------------------------------------------------------------------------------
