--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -745,8 +745,8 @@
     }
 
     // Guards against many who join with another planner's tables amid drains, where the withdrawals that each
-    // is owed take more lines than its binding: it is bound in their room; and where whole tables of all would
-    // take longer than the grace, with a few servers first. It costs a second binding.
+    // is owed take more lines than its binding: it is bound in their room; and where whole tables of all
+    // would take longer than the grace, with a few servers first. It costs a second binding.
     void bind_joined() {
         while (!unbound.empty() && !subsets.empty()) {
             const auto [place, loose] = *unbound.begin();
