--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # What staff do most. START_FILE is what LB_CONFIG is to name, as README.md shows one.
 START_FILE ?= docs/example-start.json
 FORMATTED := $(shell git ls-files src/log src/net src/outbox src/planner src/protocol src/terms \
-    src/command src/haproxy src/operators src/routing src/record src/background)
+    src/command src/haproxy src/operators src/routing src/record src/background bench/scale tests/scale_test.cpp)
 
 # Optimized little: sanitized code takes the compiler long.
 SANITIZED := -DMICAROAD_TESTS=ON -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1"
 
-.PHONY: all build test asan tsan lint bench fuzz sites run clean
+.PHONY: all build test asan tsan lint bench scale fuzz sites run clean
 all: build
 
 build:
@@ -42,6 +42,18 @@
 	build/bench/micaroad_route_index_bench
 	build/bench/micaroad_fleet_bench
 
+# What a planner costs by the size of its world: results, table and plots in SCALE_OUT. Needs libbenchmark-dev to
+# configure, python3 and gnuplot-nox for the table and the plots.
+SCALE_OUT ?= build/scale
+SCALE_SEED ?= 1
+scale:
+	cmake -B build/bench -DCMAKE_BUILD_TYPE=Release -DMICAROAD_BENCH=ON
+	cmake --build build/bench -j2 --target micaroad_scale
+	mkdir -p $(SCALE_OUT)
+	build/bench/micaroad_scale core --standard --seed $(SCALE_SEED) --revision "$$(git describe --always --dirty)" \
+	    --out $(SCALE_OUT)/results.json
+	bench/scale/report.py $(SCALE_OUT)/results.json --out $(SCALE_OUT)
+
 # Needs clang-16 and libclang-rt-16-dev. FUZZ_FLAGS go to libFuzzer; finds land in found/.
 FUZZ_FLAGS ?= -max_total_time=300
 fuzz:
--- /dev/null
+++ b/bench/scale/world.cpp
@@ -0,0 +1,262 @@
+#include "world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace micaroad::scale {
+namespace {
+
+constexpr int kServersPerCell = 30;
+constexpr int kWeight = 4;
+constexpr double kSecondsWaitingMost = 22;  // of the channel's pace
+constexpr double kLongestWindow = 60;       // seconds that one report may cover
+
+void require(bool sound, const char* parameter, const char* bounds) {
+    if (!sound) throw BadWorld(fmt::format("{} must be {}", parameter, bounds));
+}
+
+int pools_of(const WorldSpec& spec) { return spec.pools == 0 ? spec.services : spec.pools; }
+
+double seconds_between_reports(const WorldSpec& spec) { return spec.servers / spec.reports_per_second; }
+
+}  // namespace
+
+void check(const WorldSpec& spec) {
+    require(spec.proxies >= 1 && spec.proxies <= 100'000, "proxies", "1 to 100,000");
+    require(spec.planners >= 1 && spec.planners <= 100'000, "planners", "1 to 100,000");
+    require(spec.servers >= 1 && spec.servers <= 1'000'000, "servers", "1 to 1,000,000");
+    require(spec.services >= 1 && spec.services <= spec.servers, "services", "1 to the number of servers");
+    require(spec.pools >= 0 && spec.pools <= spec.services, "pools", "0 to the number of services");
+    require(spec.skew >= 0 && spec.skew <= 3, "skew", "0 to 3");
+    require(spec.zones >= 1 && spec.zones <= 1'000, "zones", "1 to 1,000");
+    require(spec.changes_per_second >= 0 && spec.changes_per_second <= spec.servers, "changes",
+            "0 to the number of servers");
+    require(spec.reports_per_second >= 0 && spec.reports_per_second <= 1e6, "reports", "0 to 1,000,000");
+    require(spec.reports_per_second == 0 || seconds_between_reports(spec) <= kLongestWindow, "reports",
+            "0, or one on each server in 60 s at least");
+    require(spec.routes >= 0 && spec.routes <= 1'000'000, "routes", "0 to 1,000,000");
+    require(spec.tenants >= 0 && spec.tenants <= 10'000'000, "tenants", "0 to 10,000,000");
+    require(spec.lines_per_second > 0 && spec.lines_per_second <= 1e6, "lines", "over 0, to 1,000,000");
+    require(spec.quiet_seconds >= 0 && spec.quiet_seconds <= 600, "quiet", "0 to 600 s");
+    require(spec.warmup_seconds >= 0 && spec.warmup_seconds <= 600, "warmup", "0 to 600 s");
+    require(spec.seconds >= 1 && spec.seconds <= 3'600, "seconds", "1 to 3,600");
+}
+
+std::vector<int> zipf_sizes(int all, int parts, double exponent) {
+    std::vector<double> weights(static_cast<std::size_t>(parts));
+    double sum = 0;
+    for (int i = 0; i < parts; ++i)
+        sum += weights[static_cast<std::size_t>(i)] = std::pow(i + 1.0, -exponent);
+    std::vector<int> sizes;
+    int left = all;
+    for (int i = 0; i < parts; ++i) {
+        const int least_of_rest = parts - i - 1;
+        const int wanted = static_cast<int>(std::lround(all * weights[static_cast<std::size_t>(i)] / sum));
+        sizes.push_back(std::clamp(wanted, 1, left - least_of_rest));
+        left -= sizes.back();
+    }
+    sizes.front() += left;  // what rounding leaves over
+    return sizes;
+}
+
+double expected_memory(const WorldSpec& spec) {
+    constexpr double kProgram = 64e6, kServer = 4'096, kRowsPerServer = 10, kLine = 32, kRoute = 4'096,
+                     kTenant = 2'048;
+    const double servers = spec.servers;
+    if (spec.workload == Workload::routing) return kProgram + spec.routes * kRoute + spec.tenants * kTenant;
+    const double rows = servers * pools_of(spec) * sizeof(double) * kRowsPerServer;
+    const double tables = std::min(1.0 * spec.proxies, 100.0) * servers * kLine;
+    return kProgram + servers * kServer + rows + tables;
+}
+
+World::World(const WorldSpec& spec)
+    : spec_(spec), random_(static_cast<std::minstd_rand::result_type>(spec.seed)) {
+    check(spec_);
+    sizes_ = zipf_sizes(spec_.servers, pools_of(spec_), spec_.skew);
+    for (int kind = 0; kind < std::ssize(sizes_); ++kind) {
+        for (int i = 0; i < sizes_[static_cast<std::size_t>(kind)]; ++i)
+            servers_.push_back(fresh(made_ % spec_.zones, kind, std::nullopt));
+    }
+    std::shuffle(servers_.begin(), servers_.end(), random_);
+}
+
+// The terms of bench/fleet_bench.cpp, but for the methods and the channel's pace.
+Terms World::terms() const {
+    Terms terms;
+    for (int service = 0; service < spec_.services; ++service) {
+        const KindId kind{service % pools_of(spec_)};
+        terms.methods.push_back(Method{Span{15'000}, 3, false, {kind}, {}});
+    }
+    terms.zones = spec_.zones;
+    terms.proxies = spec_.proxies * spec_.planners;
+    terms.planners = spec_.planners;
+    terms.lines_per_second = spec_.lines_per_second;
+    terms.lines_per_message = 3;
+    terms.lines_waiting_most = kSecondsWaitingMost * spec_.lines_per_second;
+    terms.report_every = Span{5'000};
+    terms.message_longest = Span{4'800};
+    terms.drain_grace = Span{224'000};
+    terms.warm_after = Span{180'000};
+    terms.cold_capacity = 0.17;
+    terms.fall_multiple = 3;
+    terms.fall_span = Span{15'000};
+    terms.levels = LevelKind::share;
+    terms.further_tries = FurtherTry::once_if_never_ran;
+    return terms;
+}
+
+Names World::names() const {
+    Names names;
+    for (int service = 0; service < spec_.services; ++service)
+        names.methods.push_back(fmt::format("m{}", service));
+    for (int zone = 0; zone < spec_.zones; ++zone) names.zones.push_back(fmt::format("z{}", zone));
+    for (int kind = 0; kind < pools_of(spec_); ++kind) names.kinds.push_back(fmt::format("k{}", kind));
+    return names;
+}
+
+World::Server World::fresh(int zone, int kind, std::optional<Instant> started) {
+    const int number = made_++;
+    const std::string id = fmt::format("s-{:08x}", static_cast<std::uint32_t>(number) * 2'654'435'761U);
+    return {id, zone, kind, number / kServersPerCell, Phase::ready, started};
+}
+
+std::string World::entry(const Server& server) const {
+    const char* const state = server.phase == Phase::ready      ? "up"
+                              : server.phase == Phase::draining ? "draining"
+                                                                : "removed";
+    std::string text = fmt::format(
+        R"({{"id":"{}","addr":"127.0.0.1:9","zone":"z{}","kind":"k{}","cell":{},"weight":{},"state":"{}")",
+        server.id, server.zone, server.kind, server.cell, kWeight, state);
+    if (server.started)
+        text += fmt::format(R"(,"started_ms":{})", server.started->time_since_epoch().count() / 10);
+    return text + "}";
+}
+
+std::string World::list_of(const std::vector<Server>& changed, bool complete) {
+    std::string text = fmt::format(R"({{"version":{},"full":{},"servers":[)", ++version_, complete);
+    for (const Server& server : changed) {
+        if (text.back() != '[') text += ',';
+        text += entry(server);
+    }
+    return text + "]}";
+}
+
+std::string World::whole_list() { return list_of(servers_, true); }
+
+std::string World::join_line(int proxy) const {
+    const double rate = kTriesPerServer * spec_.servers / spec_.proxies;
+    return fmt::format("hello sidecar={} az=z{} share={:.3f} standing=1", proxy, proxy % spec_.zones, rate);
+}
+
+std::string World::answer_line(int proxy, int nonce) {
+    return fmt::format("ack sidecar={} version={} lag_ms=1", proxy, nonce);
+}
+
+std::vector<std::string> World::report_lines(int number) {
+    std::vector<std::string> lines;
+    const double window = spec_.reports_per_second > 0 ? seconds_between_reports(spec_) : 0;
+    for (std::size_t looked = 0; std::ssize(lines) < number && looked < servers_.size(); ++looked) {
+        const Server& server = servers_[next_reported_++ % servers_.size()];
+        if (server.phase != Phase::ready) continue;
+        const unsigned mean_ms = 300 + random_() % 90;
+        const unsigned from = random_() % static_cast<unsigned>(spec_.zones);
+        lines.push_back(fmt::format("outcomes host={} az=z{} n={:.3f} bad=0 avg={} window={:.1f}", server.id,
+                                    from, kTriesPerServer * window, mean_ms, window * 1'000));
+    }
+    return lines;
+}
+
+std::vector<std::string> World::demand_lines(int number) {
+    std::vector<std::string> lines;
+    for (int i = 0; i < number; ++i) {
+        const std::size_t service = next_demanded_ % static_cast<std::size_t>(spec_.services);
+        const std::size_t proxy = next_demanded_++ % static_cast<std::size_t>(spec_.proxies);
+        const std::size_t pool = service % sizes_.size();
+        // Services that share a pool share its RPCs evenly.
+        const double sharing = std::ceil(1.0 * (spec_.services - static_cast<int>(pool)) / pools_of(spec_));
+        lines.push_back(fmt::format("demand sidecar={} kind=m{} n={:.3f} bad=0 window=1000", proxy, service,
+                                    kTriesPerServer * sizes_[pool] / sharing));
+    }
+    return lines;
+}
+
+// Guards against a world without ready servers: then any is taken.
+std::size_t World::any_ready() {
+    std::size_t at = random_() % servers_.size();
+    for (std::size_t tries = 0; tries < servers_.size() && servers_[at].phase != Phase::ready; ++tries)
+        at = (at + 1) % servers_.size();
+    return at;
+}
+
+World::Change World::replace(int number, Instant now) {
+    Change change;
+    std::vector<Server> changed;
+    for (int i = 0; i < number; ++i) {
+        Server& server = servers_[any_ready()];
+        Server gone = server;
+        gone.phase = Phase::gone;
+        change.gone.push_back(gone.id);
+        server = fresh(gone.zone, gone.kind, now);
+        changed.push_back(std::move(gone));
+        changed.push_back(server);
+    }
+    change.list = list_of(changed, false);
+    return change;
+}
+
+World::Change World::drain(int number) {
+    Change change;
+    std::vector<Server> changed;
+    for (int i = 0; i < number; ++i) {
+        Server& server = servers_[any_ready()];
+        if (server.phase != Phase::ready) break;
+        server.phase = Phase::draining;
+        change.gone.push_back(server.id);
+        changed.push_back(server);
+    }
+    change.list = list_of(changed, false);
+    return change;
+}
+
+World::Change World::replace_draining(Instant now) {
+    Change change;
+    std::vector<Server> changed;
+    for (Server& server : servers_) {
+        if (server.phase != Phase::draining) continue;
+        Server gone = server;
+        gone.phase = Phase::gone;
+        server = fresh(gone.zone, gone.kind, now);
+        changed.push_back(std::move(gone));
+        changed.push_back(server);
+    }
+    change.list = list_of(changed, false);
+    return change;
+}
+
+World::Change World::lose_zone(int zone) {
+    Change change;
+    std::vector<Server> changed;
+    const auto first_lost = std::stable_partition(
+        servers_.begin(), servers_.end(), [zone](const Server& server) { return server.zone != zone; });
+    lost_.assign(first_lost, servers_.end());
+    servers_.erase(first_lost, servers_.end());
+    for (Server server : lost_) {
+        server.phase = Phase::gone;
+        change.gone.push_back(server.id);
+        changed.push_back(std::move(server));
+    }
+    change.list = list_of(changed, false);
+    return change;
+}
+
+World::Change World::restore_zone(Instant now) {
+    std::vector<Server> changed;
+    for (const Server& server : lost_) changed.push_back(fresh(server.zone, server.kind, now));
+    servers_.insert(servers_.end(), changed.begin(), changed.end());
+    lost_.clear();
+    return {list_of(changed, false), {}};
+}
+
+}  // namespace micaroad::scale
