Scale tool: the whole list's bytes are counted

Cause: the arithmetic of discovery's bytes needs an entry's size, and the results did not have it.

Change: list_bytes among a point's counts, held by a test.

--- a/bench/scale/core_run.cpp
+++ b/bench/scale/core_run.cpp
@@ -310,11 +310,15 @@
         const auto a_second = [&](std::int64_t from, std::int64_t to) {
             return measured_seconds > 0 ? static_cast<double>(to - from) / measured_seconds : 0;
         };
-        json counts{
-            {"messages_in", after.messages_in},           {"bytes_in", after.bytes_in},
-            {"messages_out", after.messages_out},         {"bytes_out", after.bytes_out},
-            {"withdrawals_told", streams_.told()},        {"withdrawals_written", streams_.written.size()},
-            {"proxies_reached", streams_.reached.size()}, {"digest", std::to_string(streams_.digest)}};
+        json counts{{"list_bytes", list_bytes_},
+                    {"messages_in", after.messages_in},
+                    {"bytes_in", after.bytes_in},
+                    {"messages_out", after.messages_out},
+                    {"bytes_out", after.bytes_out},
+                    {"withdrawals_told", streams_.told()},
+                    {"withdrawals_written", streams_.written.size()},
+                    {"proxies_reached", streams_.reached.size()},
+                    {"digest", std::to_string(streams_.digest)}};
         json measured{{"measured_seconds", measured_seconds},
                       {"start_seconds", start_seconds_},
                       {"start_turn_ms", start_turn_seconds_ / kMillisecond},
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -90,6 +90,7 @@
     const json result = run_core(spec, kNoLimit);
     const json& counts = result["counts"];
     CHECK(counts["proxies_reached"] == spec.proxies);
+    CHECK(counts["list_bytes"].get<int>() > spec.servers);
     CHECK(counts["withdrawals_told"].get<int>() > 0);
     CHECK(counts["withdrawals_written"] == counts["withdrawals_told"]);
     CHECK(result["measured"]["measured_seconds"] == spec.seconds);
