--- a/bench/scale/sweep.cpp
+++ b/bench/scale/sweep.cpp
@@ -137,9 +137,9 @@
          "channel: 700 lines a second for all proxies of a planner, 22 s of it may wait; 22.4 s of grace, "
          "servers "
          "warm after 18 s",
-         "before the measured time there are 20 s in which proxies are given tables and nothing else "
-         "happens, then "
-         "4 s of the world as it is measured",
+         "before the measured time there are `quiet_seconds` in which proxies are given tables and nothing "
+         "else happens, then "
+         "`warmup_seconds` of the world as it is measured",
          "delivery: of a server that some table held, from the list's word that it is gone or drains to the "
          "line "
          "that withdraws it, for each proxy that is told"});
@@ -240,7 +240,7 @@
 json slopes_of(const std::vector<Sweep>& sweeps, const json& points) {
     constexpr std::array kMeasures{"processor_share",
                                    "start_seconds",
-                                   "resident_mb",
+                                   "core_mb",
                                    "turn_ms_100",
                                    "bytes_in_per_second",
                                    "bytes_out_per_second",
@@ -286,12 +286,13 @@
 
 std::vector<Sweep> standard_sweeps(std::uint64_t seed) {
     const WorldSpec base = core_world(seed, 16, 1'000, 10, true);
+    const WorldSpec not_heard = core_world(seed, 16, 1'000, 10, false);
     WorldSpec without_demand = core_world(seed, 16, 2'000, 40, true);
     without_demand.demand = false;
     Sweep sizes{"named sizes",
                 "",
-                {core_world(seed, 16, 2'000, 40, true), without_demand, core_world(seed, 64, 1'000, 50, true),
-                 brief(core_world(seed, 16, 8'000, 160, false)),
+                {not_heard, core_world(seed, 16, 2'000, 40, true), without_demand,
+                 core_world(seed, 64, 1'000, 50, true), brief(core_world(seed, 16, 8'000, 160, false)),
                  brief(core_world(seed, 16, kServersAtSize, 1, false)),
                  brief(core_world(seed, 16, kServersAtSize, kServicesAtSize, false))}};
     return {vary(base, "proxies", &WorldSpec::proxies, "proxies", {4, 16, 64, 256, 1'024}),
@@ -300,8 +301,9 @@
             vary(base, "services", &WorldSpec::services, "services", {1, 5, 10, 20, 40}),
             vary(base, "changes", &WorldSpec::changes_per_second, "changes_per_second",
                  {0.0, 1.0, 2.0, 4.0, 8.0}),
+            vary(base, "skew", &WorldSpec::skew, "skew", {0.0, 0.5, 0.9, 1.2}),
             vary(base, "reports", &WorldSpec::reports_per_second, "reports_per_second",
-                 {0.0, 100.0, 300.0, 1'000.0, 3'000.0}),
+                 {100.0, 300.0, 1'000.0, 3'000.0, 6'000.0}),
             vary(routing_world(seed, 0, 0), "routes", &WorldSpec::routes, "routes",
                  {5'000, 15'000, 30'000, 45'000}),
             vary(routing_world(seed, 0, 0), "tenants", &WorldSpec::tenants, "tenants",
