Scale tool: the quiet time before a measurement is played

Cause: worlds named seconds in which proxies are given their tables before anything changes, and the run skipped them: at 64 proxies most were without a table when the measured time began, and withdrawals waited for their bindings.

Change: the quiet time is played; a test holds what is said in it, and that all proxies have a table after it.

--- a/bench/scale/core_run.cpp
+++ b/bench/scale/core_run.cpp
@@ -163,7 +163,9 @@
         list_bytes_ = first_list.size();
         baseline_bytes_ = resident_bytes();
         start(first_list);
-        for (int turn = 1; turn <= spec_.warmup_seconds * kTurnsPerSecond && !stopped_; ++turn)
+        for (int turn = 0; turn < spec_.quiet_seconds * kTurnsPerSecond && !stopped_; ++turn)
+            play_quiet_turn();
+        for (int turn = 0; turn < spec_.warmup_seconds * kTurnsPerSecond && !stopped_; ++turn)
             play_turn(false);
         const Totals before = totals();
         for (int turn = 0; turn < spec_.seconds * kTurnsPerSecond && !stopped_; ++turn) {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -97,6 +97,20 @@
     CHECK(result["measured"]["delivery_ms_50"] <= result["measured"]["delivery_ms_100"]);
 }
 
+TEST_CASE("scale: in the quiet time proxies are given tables, and nothing is heard or changes", "[scale]") {
+    WorldSpec spec = small_world();
+    spec.quiet_seconds = 10;
+    spec.warmup_seconds = 0;
+    spec.seconds = 1;
+    spec.changes_per_second = 0;
+    spec.reports_per_second = 0;
+    const json result = run_core(spec, kNoLimit);
+    CHECK(result["counts"]["proxies_reached"] == spec.proxies);
+    CHECK(result["measured"]["bound_seconds"].get<double>() <= spec.quiet_seconds);
+    // One whole list, all proxies' joins and one answer to each first message.
+    CHECK(result["counts"]["messages_in"] == 1 + 2 * spec.proxies);
+}
+
 TEST_CASE("scale: a run that uses up its processor time says so", "[scale]") {
     CHECK(run_core(small_world(), 0)["stopped"].get<bool>());
 }
