--- a/bench/scale/capacity.py
+++ b/bench/scale/capacity.py
@@ -47,7 +47,7 @@
 PROXIES_PER_PLANNER = 16
 REPORT_EVERY_SECONDS = 1  # on each server that a planner hears
 OFF_BY = 4
-LIST_LINE_LIMIT = 4 * 1024 * 1024  # bytes; src/protocol/server_list.hpp, ObjectLines::kLongest
+LIST_LIMIT = 128 * 1024 * 1024 // 8  # bytes, of the planner's memory; src/daemon/limits.hpp, Limits::kListShare
 
 CHANGES_PER_SECOND = (FAILED_PER_DAY + REPLACED_PER_DAY) / SECONDS_PER_DAY
 CONFIGURATION_CHANGES_PER_SECOND = CONFIGURATION_CHANGES_PER_DAY / SECONDS_PER_DAY
@@ -323,13 +323,13 @@
     ]
     return [
         "planner",
-        "every server, with a row over all pools; every table",
+        "every server, with a place in each of its pools; every table",
         f"{SERVERS / REPORT_EVERY_SECONDS:,.0f} reports/s in, if all servers are heard",
         f"at the size: {figure_or(whole, 'processor_share', percent)}; by servers {refusal(run.slope('servers', 'processor_share'))}",
         planner_memory(run, whole),
         heard_bytes(run),
         "; ".join(verdicts),
-        "`src/balance.cpp`, `src/planner/core.cpp`; **missing**: work by what changed, a working set of services and servers",
+        "`src/balance.hpp`, `src/memberships.hpp`, `src/tables.hpp` (work by what changed), `src/planner/core.cpp`; **missing**: a working set of services and servers",
     ]
 
 
@@ -356,10 +356,15 @@
     return f"{verdict(value, BUDGET_MB)} ({megabytes(value)} beside {BUDGET_MB} MB)"
 
 
+def list_verdict(most):
+    word = "holds" if most >= SERVERS else "breaks"
+    return f"**{word}** (up to {most:,.0f} servers)"
+
+
 def row_discovery(run):
     entry = bytes_per_list_entry(run)
     whole = SERVERS * entry
-    most = LIST_LINE_LIMIT / entry
+    most = LIST_LIMIT / entry
     return [
         "discovery's agent",
         "the list and its version",
@@ -367,8 +372,8 @@
         NOT_MEASURED,
         f"{NOT_MEASURED}; one whole list is {size(whole)}",
         f"changes: {size(2 * entry * CHANGES_PER_SECOND)}/s a planner (two entries each)",
-        f"a whole list in one line: **breaks at {most:,.0f}** servers ({size(LIST_LINE_LIMIT)} a line)",
-        "`src/net/discovery_watch.cpp`, `src/protocol/server_list.hpp`; **missing**: a list in pieces, relays",
+        f"a whole list, of {size(LIST_LIMIT)} at most: {list_verdict(most)}",
+        "`src/net/discovery_watch.cpp`, `src/protocol/server_list.hpp`; **missing**: relays",
     ]
 
 
@@ -593,7 +598,7 @@
         )
     for name, factor in (("a quarter", 1 / OFF_BY), ("four times", OFF_BY)):
         entry = bytes_per_list_entry(run) * factor
-        rows.append([f"{bytes_per_list_entry(run):.0f} bytes an entry of the list", f"{name}: {entry:.0f}", f"one line holds {LIST_LINE_LIMIT / entry:,.0f} servers"])
+        rows.append([f"{bytes_per_list_entry(run):.0f} bytes an entry of the list", f"{name}: {entry:.0f}", f"one list holds {LIST_LIMIT / entry:,.0f} servers"])
     return table(["assumed", "if it is off by four", "then"], rows)
 
 
