--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -199,6 +199,7 @@
 
 BENCHMARK(services)
     ->Args({16, 2'000, 20, 1, 0, 0})->Args({16, 2'000, 40, 1, 0, 0})->Args({64, 1'000, 50, 1, 0, 0})
+    ->Args({2'400, 1'024, 2, 1, 0, 0})->Args({16, 56'000, 1, 0, 0, 0})->Args({16, 10'000, 10'000, 0, 0, 0})
     ->Args({16, 8'000, 160, 0, 0, 0})->Args({16, 8'000, 160, 1, 0, 0})->Args({16, 56'000, 1'100, 0, 0, 0})
     ->Iterations(300)->UseManualTime()->Unit(benchmark::kMicrosecond);
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,6 +39,7 @@
 // ---- A server --------------------------------------------------------------------------------------------
 
 struct Server : Part {
+    static constexpr std::size_t kRoomKept = 0;  // there are many
     Desk& desk; Part &weigher, &keeper, &gate;
     Standing self{};
 
--- a/src/memberships.hpp
+++ b/src/memberships.hpp
@@ -1,6 +1,6 @@
-// Which servers each pool holds, and what each server has in each of its pools: containers and look-ups that are kept
-// by changes, so that nobody has to walk all servers or all pools. They decide nothing: weights, shares and ceilings are
-// set by balance.cpp.
+// Which servers each pool holds, and what each server has in each of its pools: containers and look-ups that
+// are kept by changes, so that nobody has to walk all servers or all pools. They decide nothing: weights,
+// shares and ceilings are set by balance.cpp.
 #pragma once
 
 #include <cmath>
@@ -24,8 +24,8 @@
     bool operator()(const ServerId* one, const ServerId* other) const { return *one < *other; }
 };
 
-// A server in one pool. The place stays while the server is open, also where a new kind or zone took the server out of
-// the pool: its size counts as 0 there.
+// A server in one pool. The place stays while the server is open, also where a new kind or zone took the
+// server out of the pool: its size counts as 0 there.
 struct Place {
     Member* member = nullptr;
     double weight = 0;  // of the softmax, a logarithm
@@ -39,7 +39,7 @@
     double entering = 0;  // its weight in every pool in which it has no place
     std::vector<std::pair<std::size_t, Place*>> places{};  // by pool, in their order
     bool trusted = false, doubted = false;
-    bool cold = false;    // as published
+    bool cold = false;                     // as published
     bool warming = false, queued = false;  // in the lists of these
     std::size_t index = 0;                 // among the open servers of a step
 };
@@ -57,27 +57,31 @@
     std::size_t pool = 0;
     std::vector<Place*> places{};
     std::vector<std::size_t> index{};  // among the open servers of a step
-    Row weight{}, share{}, size{};     // share: as published; size: 0 where the pool is not open to the server
-    Row most{};                        // the ceiling of its share
-    double sizes = 0;                  // the sum of `size`
-    double outside = 0;  // the highest weight of an open server without a place here; -infinity: there is none
+    Row weight{}, share{}, size{};  // share: as published; size: 0 where the pool is not open to the server
+    Row most{};                     // the ceiling of its share
+    double sizes = 0;               // the sum of `size`
+    double outside =
+        0;  // the highest weight of an open server without a place here; -infinity: there is none
 };
 
-// Adds to the rate of each open server what comes more where a pool's shares move on from the published ones. `rate`: of
-// the pool's RPCs, a second.
+// Adds to the rate of each open server what comes more where a pool's shares move on from the published ones.
+// `rate`: of the pool's RPCs, a second.
 inline void add_moves(const PoolRows& pool, const Row& shares, double rate, Row& to) {
     for (std::size_t i = 0; i < shares.size(); ++i) to[pool.index[i]] += rate * (shares[i] - pool.share[i]);
 }
 
 // The square of the distance between two rows.
-inline double moved(const Row& from, const Row& to) { return to.size() > 0 ? std::pow(to - from, 2.0).sum() : 0; }
+inline double moved(const Row& from, const Row& to) {
+    return to.size() > 0 ? std::pow(to - from, 2.0).sum() : 0;
+}
 
-// Shares by softmax over the weights, none of a server of size 0. What is over a ceiling is dealt among those that have
-// none, by their shares; where all have one, no ceiling holds.
+// Shares by softmax over the weights, none of a server of size 0. What is over a ceiling is dealt among those
+// that have none, by their shares; where all have one, no ceiling holds.
 inline Row capped_softmax(const PoolRows& pool, const Row& weight) {
     if (pool.sizes == 0) return Row(pool.places.size());
     Row share = std::exp(weight - std::max(weight.max(), pool.outside));
-    share[pool.size == 0.0] = 0, share /= share.sum();
+    share[pool.size == 0.0] = 0;
+    share /= share.sum();
     Row eased = share, free = share;
     for (std::size_t i = 0; i < share.size(); ++i) {
         (pool.most[i] < 1 ? free : eased)[i] = 0;
@@ -129,15 +133,21 @@
         const Standing& was = member.seen;
         const bool opens = now.open && !was.open, closes = was.open && !now.open;
         const bool moves = now.entry.kind != was.entry.kind || now.entry.zone != was.entry.zone;
-        const bool same = !opens && !closes && !moves && doubted == member.doubted && now.steady == was.steady &&
-                          now.gone() == was.gone() && now.entry.size == was.entry.size &&
-                          now.entry.last_start == was.entry.last_start;
-        if (closes) by_entering_.erase({member.entering, &member}), entering_changed_ = true;
+        const bool same = !opens && !closes && !moves && doubted == member.doubted &&
+                          now.steady == was.steady && now.gone() == was.gone() &&
+                          now.entry.size == was.entry.size && now.entry.last_start == was.entry.last_start;
+        if (closes) {
+            by_entering_.erase({member.entering, &member});
+            entering_changed_ = true;
+        }
         if (opens) enter(member, entering);
-        member.seen = now, member.doubted = doubted;
+        member.seen = now;
+        member.doubted = doubted;
         if (now.open && (opens || moves)) join_pools(member);
         if (now.entry.last_start && !std::exchange(member.warming, true)) warming_.push_back(&member);
-        if (!same) queue(member), touch(member);
+        if (same) return;
+        queue(member);
+        touch(member);
     }
     // Takes so much of `downhill` off the weights, where they stay above a member's `least`.
     template <class Least>
@@ -153,8 +163,8 @@
         touch_all();
     }
 
-    // Touches the pools of members with a start that were not found warm yet. `warmth`: by age, at least 1: warm. True:
-    // an open one is cold.
+    // Touches the pools of members with a start that were not found warm yet. `warmth`: by age, at least 1:
+    // warm. True: an open one is cold.
     template <class Warmth>
     bool age(Warmth warmth) {
         bool any_cold = false;
@@ -199,8 +209,8 @@
             if (std::exchange(place.share, shares[i]) != shares[i]) queue(*place.member);
         }
     }
-    // What there is to tell of one whose figures changed. One that has closed leaves its pools; one that is gone is
-    // forgotten.
+    // What there is to tell of one whose figures changed. One that has closed leaves its pools; one that is
+    // gone is forgotten.
     Wish take_wish(Member& member) {
         const Standing& seen = member.seen;
         if (!seen.open) leave_pools(member);
@@ -250,13 +260,16 @@
     void add_pool(const Method& like, std::optional<ZoneId> home) {
         const std::size_t number = pools.size();
         WeighedPool& pool = pools.emplace_back();
-        pool.binding.table = {static_cast<int>(number) + 1}, pool.binding.zone = home, pool.like = like;
+        pool.binding.table = {static_cast<int>(number) + 1};
+        pool.binding.zone = home;
+        pool.like = like;
         if (like.only_kinds.empty()) open_to_any_kind_.push_back(number);
         for (const KindId kind : std::set(like.only_kinds.begin(), like.only_kinds.end()))
             by_kind_[kind].push_back(number);
     }
     void enter(Member& member, double weight) {
-        member.entering = weight, entering_changed_ = true;
+        member.entering = weight;
+        entering_changed_ = true;
         by_entering_.emplace(weight, &member);
         for (const auto& [pool, place] : member.places) place->weight = weight;
     }
@@ -277,7 +290,8 @@
     void set_entering(Member& member, double weight) {
         if (weight == member.entering) return;
         by_entering_.erase({member.entering, &member});
-        member.entering = weight, entering_changed_ = true;
+        member.entering = weight;
+        entering_changed_ = true;
         by_entering_.emplace(weight, &member);
     }
     void leave_pools(Member& member) {
@@ -289,9 +303,9 @@
         members_.erase(members_.find(*member.id));
     }
 
-    // Where sums are rounded depends on the highest weight of all open servers, so a pool's shares depend, by a rounding,
-    // on servers outside it. Nearly always the highest is the same before and after, and then only pools that may hold
-    // all servers of that weight have to be looked at.
+    // Where sums are rounded depends on the highest weight of all open servers, so a pool's shares depend, by
+    // a rounding, on servers outside it. Nearly always the highest is the same before and after, and then
+    // only pools that may hold all servers of that weight have to be looked at.
     double outside(const WeighedPool& pool) const {
         if (pool.places.size() >= by_entering_.size() && holds_all(pool)) return -kInfinity;
         for (auto at = by_entering_.rbegin(); at != by_entering_.rend(); ++at) {
--- a/src/notes.hpp
+++ b/src/notes.hpp
@@ -51,7 +51,9 @@
                           event::Arrivals, event::SliceGiven, event::SliceOwner, event::MarkApplied>;
 
 struct Part {
-    std::vector<Note> inbox;  // holds no memory while it is empty: servers are many
+    // Notes for which an inbox keeps memory while it is empty.
+    static constexpr std::size_t kRoomKept = 256;
+    std::vector<Note> inbox;
 };
 
 // Hands a part its notes, in order; one that means nothing to it is dropped.
@@ -60,9 +62,13 @@
     const auto hand = [&part](const auto& note) {
         if constexpr (requires { part.on(note); }) part.on(note);
     };
+    std::vector<Note> batch;
     while (!part.inbox.empty()) {
-        for (const Note& note : std::exchange(part.inbox, {})) std::visit(hand, note);
+        batch.clear(), batch.swap(part.inbox);
+        for (const Note& note : batch) std::visit(hand, note);
     }
+    batch.clear();
+    if (batch.capacity() <= AnyPart::kRoomKept) batch.swap(part.inbox);
 }
 
 // The one loop: until no inbox holds a note.
--- a/src/tables.hpp
+++ b/src/tables.hpp
@@ -1,6 +1,6 @@
-// What the shared tables hold of each server and what they are to hold, and the ordered plan of changes: containers that
-// are kept by changes, so that nobody has to walk all servers or all pools. They decide nothing: what is wanted, planned
-// and sent is set by balance.cpp.
+// What the shared tables hold of each server and what they are to hold, and the ordered plan of changes:
+// containers that are kept by changes, so that nobody has to walk all servers or all pools. They decide
+// nothing: what is wanted, planned and sent is set by balance.cpp.
 #pragma once
 
 #include <algorithm>
@@ -26,7 +26,7 @@
 // A server in the tables of one pool. Shares of the pool.
 struct Line {
     Entry* entry = nullptr;
-    double share = 0;         // as published
+    double share = 0;  // as published
     double wanted = 0, sent = 0;
     Planned planned{};
 };
@@ -35,7 +35,7 @@
 struct Entry {
     const ServerId* id = nullptr;
     std::vector<std::pair<std::size_t, Line*>> lines{};  // by pool, in their order
-    bool out = false, shaky = false, cold = false;  // withdrawn; may be shut out at a proxy that joins
+    bool out = false, shaky = false, cold = false;       // withdrawn; may be shut out at a proxy that joins
     bool live = true, queued = false, leaving = false;   // spoken of; in the lists of these
     int known_to = 0;  // the last to join of the proxies that were told that it is out
     ZoneId zone{};
@@ -85,19 +85,22 @@
     std::vector<Subset> subsets;
     std::map<ProxyId, Bound> bound;
     std::set<Change> plan;
-    Entries unsent;             // no table holds a line of them
-    Entries cold, jammed;       // jammed: kept out though shares are published, until the next are
-    Entries turning, repeated;  // on their way out or back; of whom a withdrawal is repeated
-    Entries failing;            // fewer of their tries are ok than of a jammed server's
-    Since leaving;              // on their way out, since it is due
-    Since withdrawn;            // lately, by when
-    Since departed;             // that nobody speaks of any more, since then
+    Entries unsent;                   // no table holds a line of them
+    Entries cold, jammed;             // jammed: kept out though shares are published, until the next are
+    Entries turning, repeated;        // on their way out or back; of whom a withdrawal is repeated
+    Entries failing;                  // fewer of their tries are ok than of a jammed server's
+    Since leaving;                    // on their way out, since it is due
+    Since withdrawn;                  // lately, by when
+    Since departed;                   // that nobody speaks of any more, since then
     std::set<std::size_t> unsettled;  // pools whose wanted shares the next plan scales, published anew or not
     std::set<std::size_t> scaled;     // pools whose wanted shares are not what the last published ones gave
 
     Entry& entry(const ServerId& server) {
         const auto [at, added] = servers.try_emplace(server);
-        if (added) at->second.id = &at->first, unsent.insert(&at->second);
+        if (added) {
+            at->second.id = &at->first;
+            unsent.insert(&at->second);
+        }
         return at->second;
     }
     void set_shares(Entry& entry, const std::vector<std::pair<std::size_t, double>>& shares) {
@@ -108,7 +111,8 @@
     // `heard`: for the last time, where it is not live.
     void set_live(Entry& entry, bool live, Instant heard) {
         departed.erase({entry.wished, &entry});
-        entry.live = live, entry.wished = heard;
+        entry.live = live;
+        entry.wished = heard;
         if (!live) departed.emplace(heard, &entry);
     }
     void set_cold(Entry& entry, bool is) {
@@ -136,7 +140,9 @@
     }
     // The pools to look at; `fresh`: shares were published, what was jammed is looked at anew.
     std::set<std::size_t> take_touched(bool fresh) {
-        if (fresh) for (Entry* const entry : std::exchange(jammed, {})) touch(*entry);
+        if (fresh) {
+            for (Entry* const entry : std::exchange(jammed, {})) touch(*entry);
+        }
         std::set<std::size_t> pools = std::exchange(touched_, {});
         const auto& more = fresh ? scaled : unsettled;
         pools.insert(more.begin(), more.end());
@@ -169,7 +175,8 @@
     }
     // `sign` -1 takes it out again.
     void count_dealt(const Entry& entry, double sign) {
-        for (const auto& [k, line] : entry.lines) subsets[entry.subset].dealt[k] += line->wanted > 0 ? sign : 0;
+        for (const auto& [k, line] : entry.lines)
+            subsets[entry.subset].dealt[k] += line->wanted > 0 ? sign : 0;
     }
     // What a subset holds of a pool that a zone's proxies use: the least part of any.
     double held_part(std::size_t subset, ZoneId zone) {
@@ -185,13 +192,15 @@
     void bind(ProxyId proxy, const Bound& as) {
         release(proxy);
         bound[proxy] = as;
-        subsets[as.subset].all.insert(proxy), subsets[as.subset].rate += as.rate;
+        subsets[as.subset].all.insert(proxy);
+        subsets[as.subset].rate += as.rate;
     }
     void release(ProxyId proxy) {
         const auto at = bound.extract(proxy);
         if (!at) return;
         Subset& its = subsets[at.mapped().subset];
-        its.all.erase(proxy), its.rate -= at.mapped().rate;
+        its.all.erase(proxy);
+        its.rate -= at.mapped().rate;
     }
 
     // It should be out since then; absent: it is not on its way out.
@@ -234,7 +243,8 @@
     Entry& take_first() {
         const auto [rank, size, server, pool] = *plan.begin();
         Entry& entry = servers.at(server);
-        pool < 0 ? drop_turn(entry) : drop(pools[static_cast<std::size_t>(pool)].lines.at(entry.id).planned, server, pool);
+        pool < 0 ? drop_turn(entry)
+                 : drop(pools[static_cast<std::size_t>(pool)].lines.at(entry.id).planned, server, pool);
         return entry;
     }
 
@@ -257,7 +267,8 @@
             touched_.insert(pool);
         }
         for (Entries* entries : {&unsent, &cold, &jammed, &repeated, &failing}) entries->erase(&entry);
-        leaving.erase({entry.due, &entry}), withdrawn.erase({entry.left, &entry});
+        leaving.erase({entry.due, &entry});
+        withdrawn.erase({entry.left, &entry});
         departed.erase({entry.wished, &entry});
         if (entry.queued) std::erase(queued_, &entry);
         servers.erase(servers.find(*entry.id));
@@ -277,7 +288,8 @@
         for (const auto& [id, line] : pools[k].lines) {
             if (line.entry->sent() == 0) continue;
             Subset& its = subsets[line.entry->subset];
-            its.held[k] += line.wanted, its.dealt[k] += line.wanted > 0;
+            its.held[k] += line.wanted;
+            its.dealt[k] += line.wanted > 0;
         }
         all_held_[k] = 0;
         for (const Subset& subset : subsets) all_held_[k] += subset.held[k];
@@ -285,12 +297,14 @@
     // Who is out is shut out with its line; who may be shut out at a proxy is let back.
     void count(Entry& entry, double sign) {
         for (const auto& [pool, line] : entry.lines) {
-            if (line->sent > 0) pools[pool].bind_lines[entry.subset] += sign * (entry.out || entry.shaky ? 2 : 1);
+            if (line->sent > 0)
+                pools[pool].bind_lines[entry.subset] += sign * (entry.out || entry.shaky ? 2 : 1);
         }
     }
 
     Row all_held_;  // by pool, of all subsets
-    std::map<std::pair<std::size_t, ZoneId>, double> held_part_;  // as far as asked for since shares were added up
+    std::map<std::pair<std::size_t, ZoneId>, double>
+        held_part_;  // as far as asked for since shares were added up
     std::set<std::size_t> touched_;
     std::vector<Entry*> queued_;
 };
