--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -115,26 +115,29 @@
     void on(const Demand& note) {
         demand = note;
         for (WeighedPool& pool : held.pools) {
-            double rate = 0;
-            for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
+            const double rate = sum_of(note.rates, pool.binding.methods);
             if (rate > 0) pool.part = rate / note.rates.sum();
         }
     }
 
     void on(const Step&) {
-        const std::vector<Member*> open = held.open();
+        // Zones that none of our proxies reaches are left out: nothing of ours shows there or moves there.
+        const std::vector<Member*> all = held.open(), open = in_tried_zones(all, kTried);
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish();
-        const double ours = rate.sum();
-        // Proxies that are not ours are taken to load the servers as ours do.
-        rate *= demand.all_over_ours, total = rate.sum();
+        const double ours = rate.sum(), reached = zone_count(open) / zone_count(all);
+        // Proxies that are not ours are taken to load the servers as ours do, those of all zones alike.
+        rate *= std::max(1.0, demand.all_over_ours * reached), total = ours * demand.all_over_ours;
         // What a server surely can do. Neither tries of who comes again count, nor what is sent to those that
         // are left when others go: these are forgotten by a tenth a step.
-        size_most = std::max(size_most * 0.9, row_of(open, [](auto& m) { return m.seen.entry.size; }).sum());
+        size_most = std::max(size_most * 0.9, row_of(all, [](auto& m) { return m.seen.entry.size; }).sum());
         usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
         std::vector<PoolRows> pools;
-        for (const std::size_t k : held.peopled()) pools.push_back(rows_of(k));
+        held.number(all, open);
+        for (const std::size_t k : held.peopled()) {
+            if (PoolRows rows = rows_of(k, true); !rows.places.empty()) pools.push_back(std::move(rows));
+        }
         const auto part = [&](const PoolRows& pool) { return held.pools[pool.pool].part; };
         const auto ahead = [&](const Shares& to, const TailTerm& tail) {
             Row at = rate;
@@ -172,7 +175,7 @@
     }
 
    private:
-    static constexpr double kMostMove = 0.15, kClamp = 0.95;  // the design's
+    static constexpr double kMostMove = 0.15, kClamp = 0.95, kTried = 1;  // the design's; one try
     // The design's are 0.5 (here of the cost's logarithm a server, whatever size and traffic) and a tenth.
     static constexpr double kStepScale = 0.2, kLeastGain = 0.01;
     static constexpr double kLeast = -3;  // a twentieth: what is never tried can't show that it recovered
@@ -219,8 +222,9 @@
         return std::min(most, std::min(able * warm, root * root) / (total * seconds(t.fall_span)));
     }
 
-    PoolRows rows_of(std::size_t pool) {
-        return held.rows_of(pool, [this](const Member& m, double listed) { return ceiling(m, listed); });
+    PoolRows rows_of(std::size_t pool, bool numbered) {  // numbered: those of the step only
+        const auto most = [this](const Member& member, double listed) { return ceiling(member, listed); };
+        return held.rows_of(pool, numbered, most);
     }
     // After a part of a step.
     Shares all_shares(const std::vector<PoolRows>& pools, double c, const Shares& downhill) const {
@@ -238,7 +242,7 @@
         if (held.pools.empty()) return;
         const bool any_cold = held.age([this](const Member& member) { return warmth(member); });
         for (const std::size_t k : held.take_touched()) {
-            const PoolRows rows = rows_of(k);
+            const PoolRows rows = rows_of(k, false);
             held.publish(rows, capped_softmax(rows, rows.weight));
         }
         const Published done{any_cold, !held.empty()};
@@ -316,6 +320,7 @@
 
     double rate() { return sum_up(), came.sum() / std::max(told, 1e-9); }
     void share_out() {  // least criticality first
+        if (desk.terms.levels != LevelKind::share) return;  // no other level goes out: all are let in
         std::multimap<double, std::size_t> order;
         if (whole |= let_in * base >= rate()) let_in = bearable = 1, base = rate();
         double spare = (1 - let_in * base / std::max(rate(), 1e-9)) * came.sum();
@@ -324,7 +329,7 @@
             const double cut = std::min(spare, came[m]);
             level[m] = came[m] > 0 ? 1 - cut / came[m] : 1, spare -= cut;
         }
-        if (desk.terms.levels == LevelKind::share) channel.inbox.push_back(Levels{level});
+        channel.inbox.push_back(Levels{level});
     }
 };
 
--- a/src/figures.hpp
+++ b/src/figures.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,39 @@
     return row_of(members, [&sums](const auto& member) { return sums.at(member.seen.entry.kind); });
 }
 
+// A figure of each member as a part of all members' sum; 0 for each where that is 0.
+template <class Members, class Figure>
+Row parts_of(const Members& members, Figure figure) {
+    Row row = row_of(members, figure);
+    const double sum = members.empty() ? 0 : row.sum();
+    if (sum > 0) row /= sum;
+    return row;
+}
+
+// Sum of the figures of some methods, from figures by method.
+inline double sum_of(const Row& figures, const std::vector<MethodId>& methods) {
+    double sum = 0;
+    for (const MethodId method : methods) sum += figures[method.value];
+    return sum;
+}
+
+// Number of zones that members are in.
+template <class Members>
+double zone_count(const Members& members) {
+    std::set<ZoneId> zones;
+    for (const auto* member : members) zones.insert(member->seen.entry.zone);
+    return static_cast<double>(zones.size());
+}
+
+// The members of those zones whose members have `least` remembered tries or more, all together.
+template <class Members>
+Members in_tried_zones(Members members, double least) {
+    std::map<ZoneId, double> tries;
+    for (const auto* member : members) tries[member->seen.entry.zone] += member->seen.tries;
+    std::erase_if(members, [&](const auto* member) { return tries.at(member->seen.entry.zone) < least; });
+    return members;
+}
+
 // Is a method, at proxies of a zone where it keeps to its own, open to a server?
 inline bool open_to(const Method& method, std::optional<ZoneId> home, const ListedServer& server) {
     const auto among = [](const auto& only, const auto& id) {
--- a/src/memberships.hpp
+++ b/src/memberships.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cmath>
-#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,7 +40,7 @@
     bool trusted = false, doubted = false;
     bool cold = false;    // as published
     bool warming = false, queued = false;  // in the lists of these
-    std::size_t index = 0;                 // among the open servers of a step
+    std::optional<std::size_t> index{};    // among the servers of a step; none: it is not one of them
 };
 
 struct WeighedPool {
@@ -49,18 +48,17 @@
     Method like;
     double part = 1;  // of the traffic
     std::map<const ServerId*, Place, ByServer> places{};
-    double outside = 0;  // as it was when the pool's shares were last published
 };
 
 // The open servers of a pool in the order of their names, with a figure of each in every row.
 struct PoolRows {
     std::size_t pool = 0;
     std::vector<Place*> places{};
-    std::vector<std::size_t> index{};  // among the open servers of a step
-    Row weight{}, share{}, size{};     // share: as published; size: 0 where the pool is not open to the server
-    Row most{};                        // the ceiling of its share
-    double sizes = 0;                  // the sum of `size`
-    double outside = 0;  // the highest weight of an open server without a place here; -infinity: there is none
+    std::vector<std::size_t> index{};  // among the servers of a step
+    // Share: as published, as a part of the sum of these; size: 0 where the pool is not open to the server.
+    Row weight{}, share{}, size{};
+    Row most{};        // the ceiling of its share
+    double sizes = 0;  // the sum of `size`
 };
 
 // Adds to the rate of each open server what comes more where a pool's shares move on from the published ones. `rate`: of
@@ -76,7 +74,7 @@
 // none, by their shares; where all have one, no ceiling holds.
 inline Row capped_softmax(const PoolRows& pool, const Row& weight) {
     if (pool.sizes == 0) return Row(pool.places.size());
-    Row share = std::exp(weight - std::max(weight.max(), pool.outside));
+    Row share = std::exp(weight - Row(weight[pool.size > 0.0]).max());
     share[pool.size == 0.0] = 0, share /= share.sum();
     Row eased = share, free = share;
     for (std::size_t i = 0; i < share.size(); ++i) {
@@ -112,17 +110,19 @@
         if (added) at->second.id = &at->first;
         return {at->second, added};
     }
-    // Open servers in the order of their names; each is told its index.
+    // Open servers in the order of their names.
     std::vector<Member*> open() {
         std::vector<Member*> open;
-        open.reserve(by_entering_.size());
         for (auto& [id, member] : members_) {
-            if (!member.seen.open) continue;
-            member.index = open.size();
-            open.push_back(&member);
+            if (member.seen.open) open.push_back(&member);
         }
         return open;
     }
+    // Numbers the servers of a step, which are some of the open ones.
+    static void number(const std::vector<Member*>& open, const std::vector<Member*>& of_step) {
+        for (Member* const member : open) member->index.reset();
+        for (std::size_t i = 0; i < of_step.size(); ++i) of_step[i]->index = i;
+    }
 
     // Takes over what a server says of itself. `entering`: its weight where it opens now.
     void update(Member& member, const Standing& now, bool doubted, double entering) {
@@ -132,7 +132,6 @@
         const bool same = !opens && !closes && !moves && doubted == member.doubted && now.steady == was.steady &&
                           now.gone() == was.gone() && now.entry.size == was.entry.size &&
                           now.entry.last_start == was.entry.last_start;
-        if (closes) by_entering_.erase({member.entering, &member}), entering_changed_ = true;
         if (opens) enter(member, entering);
         member.seen = now, member.doubted = doubted;
         if (now.open && (opens || moves)) join_pools(member);
@@ -149,7 +148,7 @@
                 place.weight = std::max(place.weight - part * downhill[k][i], least(*place.member));
             }
         }
-        for (Member* const member : open) set_entering(*member, std::max(member->entering, least(*member)));
+        for (Member* const member : open) member->entering = std::max(member->entering, least(*member));
         touch_all();
     }
 
@@ -184,16 +183,9 @@
     void touch_all() {
         for (const std::size_t k : peopled()) touched_.insert(k);
     }
-    std::set<std::size_t> take_touched() {
-        touch_by_outside();
-        return std::exchange(touched_, {});
-    }
+    std::set<std::size_t> take_touched() { return std::exchange(touched_, {}); }
 
     void publish(const PoolRows& rows, const Row& shares) {
-        WeighedPool& pool = pools[rows.pool];
-        pool.outside = rows.outside;
-        const bool odd = by_entering_.empty() || pool.outside != by_entering_.rbegin()->first;
-        odd ? (void)odd_.insert(rows.pool) : (void)odd_.erase(rows.pool);
         for (std::size_t i = 0; i < rows.places.size(); ++i) {
             Place& place = *rows.places[i];
             if (std::exchange(place.share, shares[i]) != shares[i]) queue(*place.member);
@@ -220,25 +212,24 @@
         }
         return peopled;
     }
-    // `ceiling`: of a member's share, by its part of the sizes.
+    // `numbered`: only those of the step. `ceiling`: of a member's share, by its part of the sizes.
     template <class Ceiling>
-    PoolRows rows_of(std::size_t number, Ceiling ceiling) {
+    PoolRows rows_of(std::size_t number, bool numbered, Ceiling ceiling) {
         WeighedPool& pool = pools[number];
         PoolRows rows{number};
         rows.places.reserve(pool.places.size());
         for (auto& [id, place] : pool.places) {
-            if (place.member->seen.open) rows.places.push_back(&place);
+            if (place.member->seen.open && (!numbered || place.member->index)) rows.places.push_back(&place);
         }
         rows.index.reserve(rows.places.size());
-        for (const Place* const place : rows.places) rows.index.push_back(place->member->index);
+        for (const Place* const place : rows.places) rows.index.push_back(place->member->index.value_or(0));
         rows.weight = row_of(rows.places, [](const Place& place) { return place.weight; });
-        rows.share = row_of(rows.places, [](const Place& place) { return place.share; });
+        rows.share = parts_of(rows.places, [](const Place& place) { return place.share; });
         rows.size = row_of(rows.places, [&pool](const Place& place) {
             const ListedServer& entry = place.member->seen.entry;
             return open_to(pool.like, pool.binding.zone, entry) ? entry.size : 0;
         });
         rows.sizes = rows.places.empty() ? 0 : rows.size.sum();
-        rows.outside = outside(pool);
         rows.most = Row(rows.places.size());
         for (std::size_t i = 0; i < rows.places.size(); ++i) {
             rows.most[i] = ceiling(*rows.places[i]->member, rows.size[i] / rows.sizes);
@@ -256,8 +247,7 @@
             by_kind_[kind].push_back(number);
     }
     void enter(Member& member, double weight) {
-        member.entering = weight, entering_changed_ = true;
-        by_entering_.emplace(weight, &member);
+        member.entering = weight;
         for (const auto& [pool, place] : member.places) place->weight = weight;
     }
     void join_pools(Member& member) {
@@ -273,13 +263,6 @@
         std::sort(member.places.begin(), member.places.end());
     }
 
-    // A new weight where it has no place.
-    void set_entering(Member& member, double weight) {
-        if (weight == member.entering) return;
-        by_entering_.erase({member.entering, &member});
-        member.entering = weight, entering_changed_ = true;
-        by_entering_.emplace(weight, &member);
-    }
     void leave_pools(Member& member) {
         for (const auto& [pool, place] : member.places) pools[pool].places.erase(member.id);
         member.places.clear();
@@ -289,40 +272,9 @@
         members_.erase(members_.find(*member.id));
     }
 
-    // Where sums are rounded depends on the highest weight of all open servers, so a pool's shares depend, by a rounding,
-    // on servers outside it. Nearly always the highest is the same before and after, and then only pools that may hold
-    // all servers of that weight have to be looked at.
-    double outside(const WeighedPool& pool) const {
-        if (pool.places.size() >= by_entering_.size() && holds_all(pool)) return -kInfinity;
-        for (auto at = by_entering_.rbegin(); at != by_entering_.rend(); ++at) {
-            if (!pool.places.contains(at->second->id)) return at->first;
-        }
-        return -kInfinity;
-    }
-    bool holds_all(const WeighedPool& pool) const {
-        std::size_t open = 0;
-        for (const auto& [id, place] : pool.places) open += place.member->seen.open;
-        return open == by_entering_.size();
-    }
-    void touch_by_outside() {
-        if (!std::exchange(entering_changed_, false) || by_entering_.empty()) return;
-        const auto& [highest, its] = *by_entering_.rbegin();
-        if (std::exchange(highest_, highest) != highest) return touch_all();
-        std::set<std::size_t> suspects = odd_;
-        for (const auto& [pool, place] : its->places) suspects.insert(pool);
-        for (const std::size_t k : suspects) {
-            if (outside(pools[k]) != pools[k].outside) touched_.insert(k);
-        }
-    }
-
-    static constexpr double kInfinity = std::numeric_limits<double>::infinity();
     std::map<ServerId, Member> members_;
     std::map<KindId, std::vector<std::size_t>> by_kind_;
     std::vector<std::size_t> open_to_any_kind_;
-    std::set<std::pair<double, Member*>> by_entering_;  // the open ones
-    std::set<std::size_t> odd_;  // pools whose `outside` is not the highest weight of all
-    double highest_ = 0;
-    bool entering_changed_ = false;
     std::set<std::size_t> touched_;
     std::vector<Member*> warming_, queued_;
 };
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -121,26 +121,26 @@
     void on(const Demand& note) {
         demand = note;
         for (Pool& pool : pools) {
-            double rate = 0;
-            for (const MethodId method : pool.binding.methods) rate += note.rates[method.value];
+            const double rate = sum_of(note.rates, pool.binding.methods);
             if (rate > 0) pool.part = rate / note.rates.sum();
         }
     }
 
     void on(const Step&) {
-        const Members open = open_members();
+        // Zones that none of our proxies reaches are left out: nothing of ours shows there or moves there.
+        const Members all = open_members(), open = in_tried_zones(all, kTried);
         Row rate, answer;
         if (!weigh_evidence(open, rate, answer)) return publish();
-        const double ours = rate.sum();
-        // Proxies that are not ours are taken to load the servers as ours do.
-        rate *= demand.all_over_ours, total = rate.sum();
+        const double ours = rate.sum(), reached = zone_count(open) / zone_count(all);
+        // Proxies that are not ours are taken to load the servers as ours do, those of all zones alike.
+        rate *= std::max(1.0, demand.all_over_ours * reached), total = ours * demand.all_over_ours;
         // What a server surely can do. Neither tries of who comes again count, nor what is sent to those that
         // are left when others go: these are forgotten by a tenth a step.
-        size_most = std::max(size_most * 0.9, row_of(open, [](auto& m) { return m.seen.entry.size; }).sum());
+        size_most = std::max(size_most * 0.9, row_of(all, [](auto& m) { return m.seen.entry.size; }).sum());
         usual = std::max(std::min(total, demand.told) / size_most, usual * 0.9);
         const Row capacity = rate + 1.0 / answer;
         Shares now(pools.size());  // as published
-        for (int k = 0; k < std::ssize(now); ++k) now[k] = row_of(open, [k](auto& m) { return m.share[k]; });
+        for (int k = 0; k < std::ssize(now); ++k) now[k] = parts_of(open, [k](auto& m) { return m.share[k]; });
         const auto ahead = [&](const Shares& to, TailTerm tail) {
             Row at = rate;
             for (int k = 0; k < std::ssize(now); ++k) at += ours * pools[k].part * (to[k] - now[k]);
@@ -178,7 +178,7 @@
     }
 
    private:
-    static constexpr double kMostMove = 0.15, kClamp = 0.95;  // the design's
+    static constexpr double kMostMove = 0.15, kClamp = 0.95, kTried = 1;  // the design's; one try
     // The design's are 0.5 (here of the cost's logarithm a server, whatever size and traffic) and a tenth.
     static constexpr double kStepScale = 0.2, kLeastGain = 0.01;
     static constexpr double kLeast = -3;  // a twentieth: what is never tried can't show that it recovered
@@ -246,7 +246,7 @@
             if (size.sum() == 0) continue;
             Row weight = row_of(open, [k](const Member& m) { return m.weight[k]; });
             if (!downhill.empty()) weight -= c * downhill[k];
-            Row share = std::exp(weight - weight.max());
+            Row share = std::exp(weight - Row(weight[size > 0.0]).max());
             share[size == 0.0] = 0, share /= share.sum();
             Row eased = share, free = share;
             for (std::size_t i = 0; i < open.size(); ++i) {
@@ -339,6 +339,7 @@
 
     double rate() { return sum_up(), came.sum() / std::max(told, 1e-9); }
     void share_out() {  // least criticality first
+        if (desk.terms.levels != LevelKind::share) return;  // no other level goes out: all are let in
         std::multimap<double, std::size_t> order;
         if (whole |= let_in * base >= rate()) let_in = bearable = 1, base = rate();
         double spare = (1 - let_in * base / std::max(rate(), 1e-9)) * came.sum();
@@ -347,7 +348,7 @@
             const double cut = std::min(spare, came[m]);
             level[m] = came[m] > 0 ? 1 - cut / came[m] : 1, spare -= cut;
         }
-        if (desk.terms.levels == LevelKind::share) channel.inbox.push_back(Levels{level});
+        channel.inbox.push_back(Levels{level});
     }
 };
 
