Discovery's watch reads no clock while it holds its mutex

Change: the clock is read once the mutex is free, as before lists were fed by entries. Tests of lists, watch and reload pass.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -175,9 +175,10 @@
     const protocol::Pool::Lease buffer = pool_.take();
     if (!buffer) return {"no buffer left"};
     auto last_line = steady_clock::now();
-    bool heard = false, wanted = true;
+    bool heard = false, wanted = true, line = false;
+    // Under the mutex, so no clock is read here.
     const auto take_one = [&](std::optional<protocol::ListSaid> said) {
-        last_line = steady_clock::now();
+        line = true;
         wanted = wanted && take(source, std::move(said));
         heard |= wanted;
     };
@@ -206,7 +207,9 @@
                     true};
         if (fault == ListFault::unreadable || !wanted) return {"a list that can't be read", heard};
         if (http.done()) return {"the answer's end", heard};
-        if (steady_clock::now() - last_line > time_for(lists.size())) return {"no whole line in time", heard};
+        const auto now = steady_clock::now();
+        if (std::exchange(line, false)) last_line = now;
+        if (now - last_line > time_for(lists.size())) return {"no whole line in time", heard};
     }
 }
 
