Review: stand-ins give each port once and remove their folder

Cause: a planner's port could be taken by an outgoing connection while the planner restarts, and a run left its folder.

--- a/review/stand_ins/platform_parties.py
+++ b/review/stand_ins/platform_parties.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -23,6 +24,7 @@
 GRACE_AFTER_START = 1.0  # they begin no sooner than 1 s after the planner first answered
 REDIAL = (0.59, 2.0)  # a proxy dials again within this time of noticing
 FOREVER_AGO_MS = 3_600_000
+GIVEN_PORTS = set()
 
 
 class Record:
@@ -43,9 +45,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below the usual range of outgoing connections, so that none takes it while its owner restarts."""
+    while True:
+        port = random.SystemRandom().randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 def end_with_parent():
@@ -700,6 +710,7 @@
         finally:
             await world.end()
             world.record.close()
+            shutil.rmtree(world.folder, ignore_errors=True)
         return world
 
     try:
