Proxies without a server in use move to another subset, also where messages are limited

Cause: all servers of one subset are withdrawn, and ProxyBinder::rebalance returned at once where max_messages_per_proxy is set, as moves were not counted against that limit. By the record of what a proxy was sent: no binding at all until the cold weights; the window was not full. Related: without a limit such moves waited for the window of learnt changes and for unbound proxies, and a subset that lacks a pool for proxies of another zone alone was never the most loaded one. Change: SubsetAssignment::next_move_to_endpoints finds proxies whose subset lacks a pool that another has; they move within the window of bindings. MessageLimit counts bindings against what rounds leave of the limit at their closest spacing. For its load a proxy only moves back.

--- a/src/decision/proxy_binder.cpp
+++ b/src/decision/proxy_binder.cpp
@@ -1,6 +1,7 @@
 #include "decision/proxy_binder.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace micaroad::decision {
 
@@ -67,16 +68,22 @@
     }
 }
 
+void ProxyBinder::move_to_endpoints() {
+    while (const std::optional<ProxyMove> move = assignment_.next_move_to_endpoints()) {
+        if (!apply(*move, true, available_for_next_binding())) {
+            return;
+        }
+    }
+}
+
 void ProxyBinder::rebalance() {
-    if (!state_.unbound_proxies.empty() || state_.context.settings.max_messages_per_proxy > 0) {
+    if (!state_.unbound_proxies.empty()) {
         return;
     }
-    while (const std::optional<ProxyMove> move = assignment_.next_move()) {
-        const BoundProxy& bound = state_.subsets.bound_proxies().at(move->proxy);
-        const Target target{move->proxy, bound.zone, bound.rpcs_per_second, move->to};
+    while (const std::optional<ProxyMove> move = assignment_.next_move_by_load()) {
         const double available =
             std::min(state_.available_window(WindowUse::learnt), state_.learnt_allowance);
-        const std::optional<double> cost = bind(target, available);
+        const std::optional<double> cost = apply(*move, false, available);
         if (!cost) {
             return;
         }
@@ -106,6 +113,13 @@
     return state_.lines_per_message() + lines + tables + state_.admission_lines();
 }
 
+std::optional<double> ProxyBinder::apply(const ProxyMove& move, bool displaced,
+                                         double available_lines) {
+    const BoundProxy& bound = state_.subsets.bound_proxies().at(move.proxy);
+    return bind({move.proxy, bound.zone, bound.rpcs_per_second, move.to, displaced},
+                available_lines);
+}
+
 std::optional<double> ProxyBinder::bind(const Target& target, double available_lines) {
     const std::optional<double> cost = cost_of_binding(target.zone, target.subset);
     if (!cost || *cost > available_lines) {
@@ -174,14 +188,22 @@
     std::vector<Order>& sink = state_.context.orders;
     sink.insert(sink.end(), orders.begin(), orders.end());
     clear_own_tables(target.proxy);
-    state_.subsets.bind(target.proxy,
-                        {target.zone, target.rpcs_per_second, target.subset, partial});
+    BindingTimes times = binding_times(target.proxy);
+    state_.message_limit.add_binding(times, state_.context.now);
+    state_.subsets.bind(target.proxy, {target.zone, target.rpcs_per_second, target.subset, partial,
+                                       target.displaced, std::move(times)});
     state_.send_window.charge(target.proxy, cost);
     if (partial) {
         partially_bound_.push_back(target.proxy);
     }
 }
 
+BindingTimes ProxyBinder::binding_times(ProxyId proxy) const {
+    const auto found = state_.subsets.bound_proxies().find(proxy);
+    return found == state_.subsets.bound_proxies().end() ? BindingTimes{}
+                                                         : found->second.binding_times;
+}
+
 // Clears the tables of a partial binding, which no other proxy uses.
 void ProxyBinder::clear_own_tables(ProxyId proxy) {
     const auto found = state_.subsets.bound_proxies().find(proxy);
--- a/src/decision/proxy_binder.hpp
+++ b/src/decision/proxy_binder.hpp
@@ -32,6 +32,9 @@
     void bind_joined();
     /// Binds proxies with a partial binding to the whole tables, once no proxy is unbound.
     void complete_partial_bindings();
+    /// Moves proxies whose subset has no endpoint of a pool in use. Such a proxy has no endpoint
+    /// for some method, so its move may use as much of the send window as a binding.
+    void move_to_endpoints();
     /// Moves proxies, one after the other, from the most loaded subsets to others.
     void rebalance();
 
@@ -41,15 +44,19 @@
         ZoneId zone;
         double rpcs_per_second = 0;
         std::size_t subset = 0;
+        bool displaced = false;  ///< as BoundProxy::displaced
     };
 
     /// These return the lines that the binding cost; absent if it did not fit and nothing was
     /// ordered.
     std::optional<double> bind(const Target& target, double available_lines);
     std::optional<double> bind_partially(const Target& target, double available_lines);
+    std::optional<double> apply(const ProxyMove& move, bool displaced, double available_lines);
 
     void apply(const Target& target, bool partial, const std::vector<Order>& orders, double cost);
     void clear_own_tables(ProxyId proxy);
+    /// Empty if the proxy is not bound.
+    [[nodiscard]] BindingTimes binding_times(ProxyId proxy) const;
 
     /// Upper bound for the lines of a binding; absent if the subset's tables are empty.
     [[nodiscard]] std::optional<double> cost_of_binding(ZoneId zone, std::size_t subset) const;
--- a/src/decision/proxy_subsets.cpp
+++ b/src/decision/proxy_subsets.cpp
@@ -23,7 +23,7 @@
     for (const std::size_t pool : pools) {
         recount_pool(pool);
     }
-    min_pool_shares_.clear();
+    coverages_.clear();
 }
 
 void ProxySubsets::recount_pool(std::size_t pool) {
@@ -54,19 +54,21 @@
     }
 }
 
-double ProxySubsets::min_pool_share(std::size_t subset, ZoneId zone) {
-    const auto [it, added] = min_pool_shares_.try_emplace({subset, zone}, 1);
-    double& min_share = it->second;
+PoolCoverage ProxySubsets::coverage(std::size_t subset, ZoneId zone) {
+    const auto [it, added] = coverages_.try_emplace({subset, zone});
+    PoolCoverage& coverage = it->second;
     if (!added || subsets_.size() == 1) {
-        return min_share;
+        return coverage;
     }
     for (std::size_t pool = 0; pool < tables_.pools().size(); ++pool) {
-        if (tables_.pools()[pool].serves(zone) && wanted_weight_[pool] > 0) {
-            min_share =
-                std::min(min_share, subsets_[subset].wanted_weight[pool] / wanted_weight_[pool]);
+        if (!tables_.pools()[pool].serves(zone) || wanted_weight_[pool] <= 0) {
+            continue;
         }
+        const double weight = subsets_[subset].wanted_weight[pool];
+        coverage.missing_pools += weight > 0 ? 0 : 1;
+        coverage.min_pool_share = std::min(coverage.min_pool_share, weight / wanted_weight_[pool]);
     }
-    return min_share;
+    return coverage;
 }
 
 void ProxySubsets::reset_success_margins() {
@@ -80,6 +82,10 @@
     bound_proxies_[proxy] = binding;
     Subset& subset = subsets_[binding.subset];
     subset.proxies.insert(proxy);
+    subset.proxies_by_zone[binding.zone].insert(proxy);
+    if (binding.displaced) {
+        subset.displaced_proxies.insert(proxy);
+    }
     subset.rpcs_per_second += binding.rpcs_per_second;
 }
 
@@ -90,6 +96,12 @@
     }
     Subset& subset = subsets_[bound.mapped().subset];
     subset.proxies.erase(proxy);
+    subset.displaced_proxies.erase(proxy);
+    const auto of_zone = subset.proxies_by_zone.find(bound.mapped().zone);
+    of_zone->second.erase(proxy);
+    if (of_zone->second.empty()) {
+        subset.proxies_by_zone.erase(of_zone);
+    }
     subset.rpcs_per_second -= bound.mapped().rpcs_per_second;
 }
 
--- a/src/decision/proxy_subsets.hpp
+++ b/src/decision/proxy_subsets.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <vector>
 
+#include "decision/message_limit.hpp"
 #include "decision/queue_model.hpp"
 #include "decision/routing_tables.hpp"
 
@@ -22,6 +23,17 @@
     /// Bound to tables of its own with a few of the subset's endpoints, until the whole tables fit
     /// into the send window.
     bool partial = false;
+    /// Moved here because its subset had no endpoint of a pool in use, and not moved again since.
+    bool displaced = false;
+    BindingTimes binding_times;  ///< on its current stream
+};
+
+/// How much of the pools that the proxies of a zone use a subset has.
+struct PoolCoverage {
+    /// Pools of which the subset has no endpoint in use although another subset has one.
+    int missing_pools = 0;
+    /// The subset's smallest share of a pool, by wanted weight; 0 to 1.
+    double min_pool_share = 1;
 };
 
 /// Some of the endpoints. Each proxy of the subset has the table entries of all of them, and no
@@ -35,6 +47,8 @@
     /// multiplied by their weight.
     double success_margin = 0;
     std::set<ProxyId> proxies;
+    std::map<ZoneId, std::set<ProxyId>> proxies_by_zone;  ///< the same; has no empty sets
+    std::set<ProxyId> displaced_proxies;                  ///< those with BoundProxy::displaced
 
     [[nodiscard]] bool is_overloaded() const { return success_margin < 0; }
     /// Whether proxies of this zone reach its endpoints across zones.
@@ -68,9 +82,8 @@
     /// endpoints of which an entry is sent.
     void count_endpoint(const RoutingEntry& entry) { add_endpoint(entry, 1); }
     void uncount_endpoint(const RoutingEntry& entry) { add_endpoint(entry, -1); }
-    /// The subset's smallest share, by wanted weight, of any pool that proxies of the zone use; 0
-    /// to 1.
-    [[nodiscard]] double min_pool_share(std::size_t subset, ZoneId zone);
+    /// What proxies of the zone would get from the subset.
+    [[nodiscard]] PoolCoverage coverage(std::size_t subset, ZoneId zone);
 
     void reset_success_margins();
     void add_success_margin(std::size_t subset, double margin) {
@@ -96,7 +109,7 @@
     std::vector<Subset> subsets_;
     std::map<ProxyId, BoundProxy> bound_proxies_;
     RealVector wanted_weight_;                        // by pool, summed over the subsets
-    std::map<SubsetInZone, double> min_pool_shares_;  // computed on demand since recount()
+    std::map<SubsetInZone, PoolCoverage> coverages_;  // computed on demand since recount()
 };
 
 }  // namespace micaroad::decision
--- a/src/decision/scheduler_state.hpp
+++ b/src/decision/scheduler_state.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 
 #include "decision/decision_context.hpp"
+#include "decision/message_limit.hpp"
 #include "decision/proxy_subsets.hpp"
 #include "decision/routing_tables.hpp"
 #include "decision/send_window.hpp"
@@ -40,7 +41,8 @@
 
 struct SchedulerState {
     /// `shared_context` has to live as long as this object.
-    explicit SchedulerState(DecisionContext& shared_context) : context(shared_context) {}
+    explicit SchedulerState(DecisionContext& shared_context)
+        : context(shared_context), message_limit(shared_context.settings) {}
 
     /// Lines that may be written now; negative if too many are pending already.
     [[nodiscard]] double available_window(WindowUse use) const;
@@ -68,6 +70,7 @@
     }
 
     DecisionContext& context;
+    MessageLimit message_limit;
     RoutingTables tables;
     ProxySubsets subsets{tables};
     UnboundProxies unbound_proxies;
--- a/src/decision/subset_assignment.cpp
+++ b/src/decision/subset_assignment.cpp
@@ -32,6 +32,13 @@
     auto operator<=>(const Suitability&) const = default;
 };
 
+/// What binding a proxy to a subset would cost; the best subset compares lowest.
+struct CostForProxy {
+    int missing_pools = 0;
+    double load = 0;
+    auto operator<=>(const CostForProxy&) const = default;
+};
+
 auto indices_of(const ProxySubsets& subsets) {
     return std::views::iota(std::size_t{0}, subsets.size());
 }
@@ -133,36 +140,79 @@
 // RPCs per second of the subset's proxies plus `more_rpcs_per_second`, divided by the subset's
 // smallest share of a pool, and multiplied by kRemoteLoadFactor for proxies of another zone.
 double SubsetAssignment::load(std::size_t subset, ZoneId zone, double more_rpcs_per_second) {
-    const double min_share = state_.subsets.min_pool_share(subset, zone);
+    const double min_share = state_.subsets.coverage(subset, zone).min_pool_share;
     const Subset& measured = state_.subsets[subset];
     return (measured.rpcs_per_second + more_rpcs_per_second) / std::max(min_share, kMinPoolShare) *
            (measured.is_remote_to(zone) ? kRemoteLoadFactor : 1);
 }
 
 std::size_t SubsetAssignment::least_loaded(ZoneId zone, double rpcs_per_second) {
-    const auto load_with_proxy = [&](std::size_t subset) {
-        return load(subset, zone, rpcs_per_second);
+    const auto cost_for_proxy = [&](std::size_t subset) {
+        return CostForProxy{state_.subsets.coverage(subset, zone).missing_pools,
+                            load(subset, zone, rpcs_per_second)};
     };
-    return std::ranges::min(indices_of(state_.subsets), {}, load_with_proxy);
+    return std::ranges::min(indices_of(state_.subsets), {}, cost_for_proxy);
 }
 
-std::optional<ProxyMove> SubsetAssignment::next_move() {
-    const auto own_load = [&](std::size_t subset) {
-        return load(subset, state_.subsets[subset].zone.value_or(ZoneId{}), 0);
-    };
-    const std::size_t from = std::ranges::max(indices_of(state_.subsets), {}, own_load);
-    const Subset& most_loaded = state_.subsets[from];
-    if (most_loaded.proxies.empty()) {
+std::optional<ProxyMove> SubsetAssignment::next_move_to_endpoints() {
+    for (const std::size_t from : indices_of(state_.subsets)) {
+        for (const auto& [zone, proxies] : state_.subsets[from].proxies_by_zone) {
+            const int missing_pools = state_.subsets.coverage(from, zone).missing_pools;
+            const auto proxy = missing_pools > 0
+                                   ? first_allowed(proxies, &MessageLimit::allows_binding)
+                                   : std::nullopt;
+            if (!proxy) {
+                continue;
+            }
+            const double rate = state_.subsets.bound_proxies().at(*proxy).rpcs_per_second;
+            const std::size_t to = least_loaded(zone, rate);
+            if (state_.subsets.coverage(to, zone).missing_pools < missing_pools) {
+                return ProxyMove{*proxy, to};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ProxyMove> SubsetAssignment::next_move_by_load() {
+    std::optional<ProxyId> proxy;
+    std::size_t from = 0;
+    double highest_load = 0;
+    for (const std::size_t subset : indices_of(state_.subsets)) {
+        const double own_load = load(subset, state_.subsets[subset].zone.value_or(ZoneId{}), 0);
+        const auto candidate = first_to_rebalance(state_.subsets[subset]);
+        if (candidate && own_load > highest_load) {
+            proxy = candidate;
+            from = subset;
+            highest_load = own_load;
+        }
+    }
+    if (!proxy) {
         return std::nullopt;
     }
-    const ProxyId proxy = *most_loaded.proxies.begin();
-    const BoundProxy& bound = state_.subsets.bound_proxies().at(proxy);
+    const BoundProxy& bound = state_.subsets.bound_proxies().at(*proxy);
     const std::size_t to = least_loaded(bound.zone, bound.rpcs_per_second);
     if (to == from || load(from, bound.zone, 0) <
                           kMinRebalanceLoadRatio * load(to, bound.zone, bound.rpcs_per_second)) {
         return std::nullopt;
     }
-    return ProxyMove{proxy, to};
+    return ProxyMove{*proxy, to};
+}
+
+// Moves cost messages, so where these are limited only those proxies move whose subset does not
+// suit them: they go back once there are endpoints.
+std::optional<ProxyId> SubsetAssignment::first_to_rebalance(const Subset& subset) const {
+    return first_allowed(state_.message_limit.exists() ? subset.displaced_proxies : subset.proxies,
+                         &MessageLimit::allows_rebalancing);
+}
+
+std::optional<ProxyId> SubsetAssignment::first_allowed(const std::set<ProxyId>& proxies,
+                                                       LimitCheck is_allowed) const {
+    const auto found = std::ranges::find_if(proxies, [&](ProxyId proxy) {
+        const BoundProxy& bound = state_.subsets.bound_proxies().at(proxy);
+        return (state_.message_limit.*is_allowed)(bound.binding_times, state_.context.now);
+    });
+    return found == proxies.end() ? std::nullopt : std::optional(*found);
 }
 
 }  // namespace micaroad::decision
--- a/src/decision/subset_assignment.hpp
+++ b/src/decision/subset_assignment.hpp
@@ -10,18 +10,20 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 
 #include "decision/scheduler_state.hpp"
 
 namespace micaroad::decision {
 
-/// A proxy that is to leave an overloaded subset for another one.
+/// A proxy that is to leave its subset for another one.
 struct ProxyMove {
     ProxyId proxy;
     std::size_t to = 0;
 };
 
-/// Changes the subsets and RoutingEntry::subset; sends nothing.
+/// Changes the subsets and RoutingEntry::subset; sends nothing. Where the settings limit the
+/// messages to a proxy, no move is proposed that would exceed the limit.
 class SubsetAssignment {
  public:
     /// `state` has to live as long as this object.
@@ -31,11 +33,17 @@
     /// endpoints of which no entry is sent. `pools` have changed since the last call.
     void assign(const RoutingTables::PoolSet& pools, bool weights_published);
 
-    /// The subset with the least load for a proxy of this zone and rate.
+    /// The subset with the least load for a proxy of this zone and rate, among those that have
+    /// endpoints of the most pools.
     [[nodiscard]] std::size_t least_loaded(ZoneId zone, double rpcs_per_second);
 
-    /// A move from the most loaded subset; absent where loads differ by no more than chance.
-    [[nodiscard]] std::optional<ProxyMove> next_move();
+    /// A move of a proxy whose subset has no endpoint in use of a pool to one that has endpoints of
+    /// more pools; absent if there is no such proxy and subset.
+    [[nodiscard]] std::optional<ProxyMove> next_move_to_endpoints();
+
+    /// A move from the most loaded subset; absent where loads differ by no more than chance. Where
+    /// messages are limited, only displaced proxies move.
+    [[nodiscard]] std::optional<ProxyMove> next_move_by_load();
 
  private:
     void create_subsets();
@@ -45,6 +53,13 @@
     [[nodiscard]] std::size_t subset_for(const RoutingEntry& entry) const;
     [[nodiscard]] double load(std::size_t subset, ZoneId zone, double more_rpcs_per_second);
 
+    [[nodiscard]] std::optional<ProxyId> first_to_rebalance(const Subset& subset) const;
+
+    using LimitCheck = bool (MessageLimit::*)(const BindingTimes&, TimePoint) const;
+    /// The first of the proxies that the limit on messages allows to be bound again now.
+    [[nodiscard]] std::optional<ProxyId> first_allowed(const std::set<ProxyId>& proxies,
+                                                       LimitCheck is_allowed) const;
+
     SchedulerState& state_;
 };
 
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -96,6 +96,7 @@
     // withdrawals.
     if (state_.subsets.size() > 1) {
         bind_proxies();
+        binder_.move_to_endpoints();
         binder_.rebalance();
     }
     if (!are_changes_held()) {
--- a/src/decision/update_sender.cpp
+++ b/src/decision/update_sender.cpp
@@ -13,16 +13,6 @@
 // counted with it.
 constexpr double kDesignLinesPerMessage = 6;
 
-// Changes that become due within this time are sent in one message, which saves overhead. Learnt
-// changes wait longer: that saves more overhead than the delay costs.
-constexpr Duration kMergeInterval = std::chrono::milliseconds(200);
-constexpr Duration kLearntMergeInterval = std::chrono::seconds(1);
-
-// Where a proxy may get only a limited number of messages within a time, this many are reserved for
-// a binding.
-constexpr int kMessagesReservedForBinding = 3;
-constexpr int kUnlimitedMessages = 1'000'000;
-
 /// Whether the endpoint's withdrawal was sent already and only has to reach proxies that joined
 /// since.
 bool is_repeated_withdrawal(const RoutingEntry& entry) {
@@ -264,20 +254,12 @@
     }
 }
 
-// Spaces rounds so that a proxy, including its binding, gets no more messages than the limit:
-// urgent rounds use seven tenths of the allowed message rate, learnt rounds three tenths.
 void UpdateSender::space_rounds(const Round& round) {
-    const DeploymentSettings& settings = state_.context.settings;
-    const int max_messages =
-        settings.max_messages_per_proxy > 0
-            ? std::max(1, settings.max_messages_per_proxy - kMessagesReservedForBinding)
-            : kUnlimitedMessages;
-    const Duration spacing = settings.message_limit_window / max_messages;
     if (round.urgent_sent) {
-        next_urgent_round_ = state_.context.now + std::max(kMergeInterval, spacing * 10 / 7);
+        next_urgent_round_ = state_.context.now + state_.message_limit.urgent_spacing();
     }
     if (round.learnt_sent) {
-        next_learnt_round_ = state_.context.now + std::max(kLearntMergeInterval, spacing * 10 / 3);
+        next_learnt_round_ = state_.context.now + state_.message_limit.learnt_spacing();
     }
 }
 
--- a/tests/drain_oracle_test.cpp
+++ b/tests/drain_oracle_test.cpp
@@ -6,7 +6,7 @@
 //
 // Rule 1: no method of a proxy stays without a server for long while warm servers exist. Rule 3: a
 // proxy stops sending to a drained or removed server within the grace. Rule 5: no more lines than
-// allowed are pending in the channel.
+// allowed are pending in the channel, and a proxy gets no more messages than allowed.
 //
 // MICAROAD_ORACLE_SEEDS=1-1000 runs these seeds in place of the default ones.
 #include <fmt/format.h>
@@ -36,7 +36,7 @@
 }
 
 constexpr Duration kTick = s(0.05), kTolerance = s(0.3), kMaxNotificationDelay = s(6),
-                   kMaxRemovedEntryAge = s(50);
+                   kMaxRemovedEntryAge = s(50), kMessageLimitWindow = s(10);
 
 enum class Disturbance {
     none,
@@ -44,7 +44,8 @@
     mass_failure,
     cold_return,
     mass_replacement,
-    takeover
+    takeover,
+    zone_loss
 };
 
 // The parameters of a simulation. The settings give the channel a pace of lines_per_second; it
@@ -58,6 +59,7 @@
     double lost_acknowledgement_fraction = 0;  // of all acknowledgements
     bool compare_with_reference = false;       // every order, with the reference planner
     Duration grace = s(22.4);                  // of a drain; only used with a disturbance
+    int max_messages_per_proxy = 0;            // within kMessageLimitWindow; 0: no limit
 
     DeploymentSettings deployment_settings() const {
         DeploymentSettings settings = test::sample_settings();
@@ -67,13 +69,22 @@
         settings.max_message_delay = s(0.45);
         settings.warm_up_duration = s(18);
         settings.cold_capacity_fraction = 0.17;
+        settings.max_messages_per_proxy = max_messages_per_proxy;
+        settings.message_limit_window = kMessageLimitWindow;
         if (disturbance != Disturbance::none) {
             settings.drain_grace = grace;
         }
         return settings;
     }
     Duration max_time_without_server() const {
-        return disturbance == Disturbance::none ? s(2.1) : grace + s(10.8);
+        switch (disturbance) {
+            case Disturbance::none:
+                return s(2.1);
+            case Disturbance::zone_loss:
+                return s(2.5);
+            default:
+                return grace + s(10.8);
+        }
     }
 };
 
@@ -414,6 +425,17 @@
                         stop(p);
                     }
                 });
+                break;
+            case Disturbance::zone_loss:  // a zone's servers stop at once and return cold
+                for (auto& [id, server_state] : std::map(servers_)) {
+                    if (server_state.zone != 0) {
+                        continue;
+                    }
+                    change(id, {0, EndpointPhase::gone, {}});
+                    schedule_after(s(5), [this, id = id] {
+                        change(id, {0, EndpointPhase::ready, clock_.now()});
+                    });
+                }
         }
     }
     // Drains a fraction of the servers at random times within `period` seconds. Each is replaced by
@@ -555,6 +577,7 @@
         std::size_t lines = static_cast<std::size_t>(settings.overhead_lines_per_message);
         any.read(message, lines);
         const TimePoint now = clock_.now();
+        count_message(planner, stream);
         // Entries of removed servers cost lines in the channel and memory at every proxy, so they
         // must leave the tables in time.
         for (const auto& [id, weight] : any.tables.at("lookup")) {
@@ -598,6 +621,22 @@
         });
     }
 
+    // The limit counts from the opening of a stream.
+    void count_message(const SimulatedPlanner& planner, StreamId stream) {
+        const TimePoint now = clock_.now();
+        std::deque<TimePoint>& times = message_times_[stream];
+        times.push_back(now);
+        while (now - times.front() > kMessageLimitWindow) {
+            times.pop_front();
+        }
+        const std::size_t limit = spec_.max_messages_per_proxy;
+        if (limit > 0 && times.size() > limit) {
+            report_violation("rule 5", planner.number, -1,
+                             fmt::format("{} messages to a proxy", times.size()),
+                             now - times.front());
+        }
+    }
+
     // ---- reports of the proxies, frequent enough for weights to change all the time
     void report() {
         const bool latencies_are_high =
@@ -732,6 +771,7 @@
     int next_number_ = 1, next_port_ = 1'000;
     std::uint64_t last_stream_ = 0;
     std::set<StreamId> closed_streams_;
+    std::map<StreamId, std::deque<TimePoint>> message_times_;
     std::vector<std::unique_ptr<SimulatedPlanner>> planners_;
     std::vector<Proxy> proxies_;
     std::string violation_;
@@ -806,6 +846,17 @@
                            1, 4) == 0);
 }
 
+// Guards against proxies that stay without any server (issue 50, review/1). The channel carries no
+// complete tables, so servers and proxies are divided into subsets of one zone each, and the number
+// of messages to a proxy is limited. All servers of a zone stop at once and return cold.
+TEST_CASE("proxies find other servers in time when a zone is lost and messages are limited") {
+    for (const int max_messages : {12, 30}) {
+        CHECK(count_violations({"zone loss", Disturbance::zone_loss, 2, 48, 40, 1'000, 2'000, 1,
+                                s(45), 0, true, s(2), max_messages},
+                               1, 12) == 0);
+    }
+}
+
 // Every order in these simulations must equal that of the reference planner, to the bit.
 TEST_CASE("the planner gives the same orders as the reference in the oracle's simulations") {
     CHECK(count_violations(
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -684,7 +684,7 @@
             plan_changes();
         }
         if (subsets.size() > 1) {
-            bind_waiting_proxies(), complete_partial_bindings(), rebalance();
+            bind_waiting_proxies(), complete_partial_bindings(), move_to_endpoints(), rebalance();
         }
         // Withdrawals wait while proxies are being bound, as each unbound proxy would have to get
         // each of them.
@@ -826,9 +826,49 @@
         return (subsets[subset].rpcs_per_second + extra_rate) / std::max(min_share, 1e-9) *
                (is_remote ? kRemoteLoadFactor : 1);
     }
+    // Pools that proxies of the zone use and of which another subset has servers, but this one has
+    // none.
+    int missing_pools(std::size_t subset, ZoneId zone) const {
+        int missing = 0;
+        for (std::size_t k = 0; subsets.size() > 1 && k < bindings.size(); ++k) {
+            const bool exists = std::ranges::any_of(
+                subsets, [&](const Subset& other) { return other.share_sums[k] > 0; });
+            missing += is_used_in(k, zone) && exists && !(subsets[subset].share_sums[k] > 0);
+        }
+        return missing;
+    }
     std::size_t least_loaded_subset(ZoneId zone, double extra_rate) const {
-        const auto load_of = [&](std::size_t p) { return load(p, zone, extra_rate); };
-        return std::ranges::min(std::views::iota(std::size_t{0}, subsets.size()), {}, load_of);
+        const auto cost_of = [&](std::size_t p) {
+            return std::pair(missing_pools(p, zone), load(p, zone, extra_rate));
+        };
+        return std::ranges::min(std::views::iota(std::size_t{0}, subsets.size()), {}, cost_of);
+    }
+    // Guards against more messages to a proxy than it may get: what rounds leave of the limit, if
+    // they come as early as their spacing allows, is for bindings. For its load a proxy only moves
+    // back from where it had to move, and without a binding within the window.
+    bool may_bind_again(const BoundProxy& bound, bool by_load) const {
+        if (context.settings.max_messages_per_proxy == 0) {
+            return true;
+        }
+        const Duration window = context.settings.message_limit_window;
+        const int max_bindings = context.settings.max_messages_per_proxy - 2 -
+                                 static_cast<int>(window / urgent_spacing()) -
+                                 static_cast<int>(window / learnt_spacing());
+        const int bindings_in_window = static_cast<int>(std::ranges::count_if(
+            bound.times, [&](TimePoint time) { return context.now - time <= window; }));
+        return by_load ? bound.displaced && max_bindings > 0 && bindings_in_window == 0
+                       : bindings_in_window < max_bindings;
+    }
+    // With this spacing, rounds stay below the maximum of messages to a proxy, with its binding.
+    Duration round_spacing() const {
+        const int max_messages = context.settings.max_messages_per_proxy > 0
+                                     ? std::max(1, context.settings.max_messages_per_proxy - 3)
+                                     : 1'000'000;
+        return context.settings.message_limit_window / max_messages;
+    }
+    Duration urgent_spacing() const { return std::max(kMergeInterval, round_spacing() * 10 / 7); }
+    Duration learnt_spacing() const {
+        return std::max(kLearntMergeInterval, round_spacing() * 10 / 3);
     }
     void release(ProxyId proxy) {
         const auto at = bound_proxies.extract(proxy);
@@ -841,28 +881,66 @@
             context.orders.push_back(order::ClearTable{table_of(k, own_table_set(proxy))});
         }
     }
+    // Guards against proxies without any server for a method: moves those whose subset has none of
+    // a pool to a subset that lacks fewer pools.
+    void move_to_endpoints() {
+        for (double cost = 1; cost > 0;) {
+            cost = 0;
+            for (std::size_t from = 0; from < subsets.size() && cost == 0; ++from) {
+                for (int zone = 0; zone < context.settings.zone_count && cost == 0; ++zone) {
+                    const auto is_movable = [&](ProxyId proxy) {
+                        const BoundProxy& bound = bound_proxies.at(proxy);
+                        return bound.zone.value == zone && may_bind_again(bound, false);
+                    };
+                    const auto proxy = std::ranges::find_if(subsets[from].proxies, is_movable);
+                    if (proxy == subsets[from].proxies.end()) {
+                        continue;
+                    }
+                    const double rate = bound_proxies.at(*proxy).rpcs_per_second;
+                    const std::size_t to = least_loaded_subset({zone}, rate);
+                    if (missing_pools(to, {zone}) >= missing_pools(from, {zone})) {
+                        continue;
+                    }
+                    cost = bind(*proxy, {zone}, rate, to,
+                                available_window(send_window.pending() > 0 ? -1 : 0), false, true);
+                    if (cost == 0) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
     // Moves proxies from the most loaded subset, one after another.
     void rebalance() {
-        if (!unbound_proxies.empty() || context.settings.max_messages_per_proxy > 0) {
+        if (!unbound_proxies.empty()) {
             return;
         }
         for (double cost = 1; cost > 0; learnt_allowance -= cost) {
-            const auto load_of = [&](std::size_t p) {
-                return load(p, subsets[p].zone.value_or(ZoneId{}), 0);
+            const auto is_movable = [&](ProxyId proxy) {
+                return may_bind_again(bound_proxies.at(proxy), true);
             };
-            const auto most_loaded =
-                std::ranges::max(std::views::iota(std::size_t{0}, subsets.size()), {}, load_of);
-            if (subsets[most_loaded].proxies.empty()) {
+            int most_loaded = -1;
+            double highest_load = 0;
+            for (int p = 0; p < std::ssize(subsets); ++p) {
+                const double its_load = load(p, subsets[p].zone.value_or(ZoneId{}), 0);
+                if (its_load > highest_load &&
+                    std::ranges::any_of(subsets[p].proxies, is_movable)) {
+                    most_loaded = p, highest_load = its_load;
+                }
+            }
+            if (most_loaded < 0) {
                 return;
             }
-            const ProxyId proxy = *subsets[most_loaded].proxies.begin();
-            const auto [zone, rate, from, partial] = bound_proxies.at(proxy);
-            const std::size_t to = least_loaded_subset(zone, rate);
-            if (to == most_loaded ||
-                load(most_loaded, zone, 0) < kMinRebalanceLoadRatio * load(to, zone, rate)) {
+            const ProxyId proxy = *std::ranges::find_if(subsets[most_loaded].proxies, is_movable);
+            const BoundProxy bound = bound_proxies.at(proxy);
+            const std::size_t to = least_loaded_subset(bound.zone, bound.rpcs_per_second);
+            if (static_cast<int>(to) == most_loaded ||
+                load(most_loaded, bound.zone, 0) <
+                    kMinRebalanceLoadRatio * load(to, bound.zone, bound.rpcs_per_second)) {
                 return;
             }
-            cost = bind(proxy, zone, rate, to, std::min(available_window(1), learnt_allowance));
+            cost = bind(proxy, bound.zone, bound.rpcs_per_second, to,
+                        std::min(available_window(1), learnt_allowance));
         }
     }
 
@@ -1134,16 +1212,11 @@
             learnt_allowance =
                 std::max(0.0, learnt_allowance - lines_to_bound(kDesignLinesPerMessage, 0, -1));
         }
-        // With this spacing, they stay below the maximum of messages to a proxy, with its binding.
-        const int max_messages = context.settings.max_messages_per_proxy > 0
-                                     ? std::max(1, context.settings.max_messages_per_proxy - 3)
-                                     : 1'000'000;
-        const Duration share = context.settings.message_limit_window / max_messages;
         if (urgent_sent) {
-            next_urgent_round = context.now + std::max(kMergeInterval, share * 10 / 7);
+            next_urgent_round = context.now + urgent_spacing();
         }
         if (learnt_sent) {
-            next_learnt_round = context.now + std::max(kLearntMergeInterval, share * 10 / 3);
+            next_learnt_round = context.now + learnt_spacing();
         }
     }
 
@@ -1207,15 +1280,19 @@
         return {lines_per_message + lines + tables + 1.0 * sent_admission.size(), orders};
     }
     double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double max_cost,
-                bool partial = false) {
+                bool partial = false, bool displaced = false) {
         const auto [cost, orders] = make_binding(proxy, zone, subset, partial);
         const bool has_entries = cost > make_binding(proxy, zone, subset, partial, true).first;
         if (!has_entries || cost > max_cost) {
             return 0;
         }
         context.orders.insert(context.orders.end(), orders.begin(), orders.end());
+        const auto before = bound_proxies.find(proxy);
+        std::vector<TimePoint> times =
+            before == bound_proxies.end() ? std::vector<TimePoint>{} : before->second.times;
+        times.push_back(context.now);
         release(proxy), send_window.charge(proxy, cost),
-            bound_proxies[proxy] = {zone, rate, subset, partial};
+            bound_proxies[proxy] = {zone, rate, subset, partial, displaced, times};
         subsets[subset].proxies.insert(proxy), subsets[subset].rpcs_per_second += rate;
         if (partial) {
             partially_bound.push_back(proxy);
@@ -1251,7 +1328,7 @@
             if (at == bound_proxies.end() || !at->second.partial) {
                 continue;
             }
-            const auto [zone, rate, subset, partial] = at->second;
+            const auto [zone, rate, subset, partial, displaced, times] = at->second;
             if (bind(proxy, zone, rate, subset,
                      available_window(send_window.pending() > 0 ? -1 : 0)) == 0) {
                 break;
--- a/tests/reference/notes.hpp
+++ b/tests/reference/notes.hpp
@@ -47,7 +47,9 @@
     ZoneId zone;
     double rpcs_per_second = 0;
     std::size_t subset = 0;
-    bool partial = false;  // bound to a table of its own with a few servers of the subset
+    bool partial = false;            // bound to a table of its own with a few servers of the subset
+    bool displaced = false;          // its last move was one to a subset with servers
+    std::vector<TimePoint> times{};  // of its bindings, since it joined
 };
 // A pending change: rank (0: urgent, 1: learnt, 2: cleanup), sort key, server, and pool (negative:
 // the server is withdrawn or reinstated).
--- a/tests/routing_tables_test.cpp
+++ b/tests/routing_tables_test.cpp
@@ -173,8 +173,8 @@
     CHECK(subsets[0].zone == kFirstZone);
     CHECK(subsets[1].is_remote_to(kFirstZone));
     const ProxyId proxy{7};
-    subsets.bind(proxy, {kFirstZone, 40, 0, true});
-    subsets.bind(proxy, {kFirstZone, 40, 1, false});
+    subsets.bind(proxy, {kFirstZone, 40, 0, true, false, {}});
+    subsets.bind(proxy, {kFirstZone, 40, 1, false, false, {}});
     CHECK(subsets[0].proxies.empty());
     CHECK(subsets[0].rpcs_per_second == 0);
     CHECK(subsets[1].proxies.contains(proxy));
@@ -195,12 +195,12 @@
     send_weight(tables, kServer, 0, 0.75);
     RoutingEntry& other = send_weight(tables, kOtherServer, 0, 0.25);
     subsets.recount({0});
-    CHECK(subsets.min_pool_share(0, kSecondZone) == 0.75);
-    CHECK(subsets.min_pool_share(1, kSecondZone) == 0.25);
+    CHECK(subsets.coverage(0, kSecondZone).min_pool_share == 0.75);
+    CHECK(subsets.coverage(1, kSecondZone).min_pool_share == 0.25);
     CHECK(subsets[1].endpoint_count[0] == 1);
     other.table_entries.front().table_entry->sent = 0;
     subsets.recount({0});
-    CHECK(subsets.min_pool_share(0, kSecondZone) == 1);
-    CHECK(subsets.min_pool_share(1, kSecondZone) == 0);
+    CHECK(subsets.coverage(0, kSecondZone).min_pool_share == 1);
+    CHECK(subsets.coverage(1, kSecondZone).min_pool_share == 0);
     CHECK(subsets[1].endpoint_count[0] == 0);
 }
