A server that another planner withdrew is reinstated at a proxy that comes back

Cause: UpdateBuilder::ensure_reinstated took an acknowledged reinstatement of an earlier stream for what the proxy holds; another planner had withdrawn the servers since. By the record of the messages; the planner's orders are the same with and without the change (order digests), so weights, slow start and window are out. Change: a notice counts only on the stream on which it was sent; a server with a notice of an earlier stream is reinstated with its entry. Servers need not be kept by nonce any more. Test replaced: "a server that is known to be reinstated is not reinstated again" demanded this fault. Now: once on a stream, again on the next; and one for another planner's withdrawal.

--- a/src/updates/update_builder.cpp
+++ b/src/updates/update_builder.cpp
@@ -27,10 +27,9 @@
     state.methods_by_table.clear();
     state.unacknowledged.clear();
     partly_bound_.erase(proxy);
+    // The proxy may not have got the last notices, and another planner may withdraw and reinstate
+    // servers at it from now on.
     for (auto& [server, notice] : state.notices) {
-        // If the proxy did not get the last notice, the previous one still applies there. A server
-        // that may be withdrawn counts as withdrawn, so that its next entry reinstates it.
-        notice.withdrawn |= !notice.acknowledged;
         notice.on_this_stream = false;
     }
 }
@@ -40,27 +39,13 @@
     if (found == proxies_.end()) {
         return false;
     }
-    std::deque<SentUpdate>& unacknowledged = found->second.unacknowledged;
-    const auto acknowledged =
-        std::find_if(unacknowledged.begin(), unacknowledged.end(),
-                     [nonce](const SentUpdate& update) { return update.nonce == nonce; });
+    std::deque<Nonce>& unacknowledged = found->second.unacknowledged;
+    const auto acknowledged = std::ranges::find(unacknowledged, nonce);
     if (acknowledged == unacknowledged.end()) {
         return false;
     }
     // A proxy applies updates in order, so this also acknowledges all earlier ones.
-    const std::size_t count = std::distance(unacknowledged.begin(), acknowledged) + 1;
-    for (std::size_t i = 0; i < count; ++i) {
-        const SentUpdate update = std::move(unacknowledged.front());
-        unacknowledged.pop_front();
-        for (const ServerId& server : update.servers) {
-            const bool has_later_notice = std::any_of(
-                unacknowledged.begin(), unacknowledged.end(),
-                [&server](const SentUpdate& later) { return later.servers.contains(server); });
-            if (!has_later_notice) {
-                found->second.notices[server].acknowledged = true;
-            }
-        }
-    }
+    unacknowledged.erase(unacknowledged.begin(), std::next(acknowledged));
     return true;
 }
 
@@ -76,11 +61,7 @@
     withdrawn_.erase(server);
     if (const auto proxies = proxies_with_notice_.extract(server)) {
         for (const ProxyId number : proxies.mapped()) {
-            Proxy& proxy = proxies_.at(number);
-            proxy.notices.erase(server);
-            for (SentUpdate& update : proxy.unacknowledged) {
-                update.servers.erase(server);
-            }
+            proxies_.at(number).notices.erase(server);
         }
     }
     return true;
@@ -93,7 +74,7 @@
     std::vector<ProxyUpdate> updates;
     for (auto& [number, update] : std::exchange(drafts_, {})) {
         if (update.nonce) {
-            await_acknowledgement(update, *update.nonce);
+            await_acknowledgement(number, *update.nonce);
         }
         updates.push_back(std::move(update));
     }
@@ -293,28 +274,26 @@
         return;
     }
     update_for(number).withdrawn[server] = withdrawn;
-    proxy.notices[server] = {withdrawn, false, true};
+    proxy.notices[server] = {withdrawn, true};
     proxies_with_notice_[server].insert(number);
 }
 
 /// Reinstates a server at a proxy where it may be withdrawn, as its entry would have no effect
-/// there otherwise. Does nothing if an order withdraws the server.
+/// there otherwise. Does nothing if an order withdraws the server. What was sent on an earlier
+/// stream tells nothing: other planners may have withdrawn the server at the proxy since.
 void UpdateBuilder::ensure_reinstated(ProxyId number, Proxy& proxy, const ServerId& server) {
     const auto found = proxy.notices.find(server);
-    const bool is_known_usable =
-        found != proxy.notices.end() ? !found->second.withdrawn : listed_servers_.is_steady(server);
+    const bool is_known_usable = found != proxy.notices.end()
+                                     ? found->second.on_this_stream && !found->second.withdrawn
+                                     : listed_servers_.is_steady(server);
     if (!is_known_usable && !withdrawn_.contains(server)) {
         add_notice(number, proxy, server, false);
     }
 }
 
-void UpdateBuilder::await_acknowledgement(const ProxyUpdate& update, Nonce nonce) {
-    SentUpdate sent{nonce, {}};
-    for (const auto& [server, withdrawn] : update.withdrawn) {
-        sent.servers.insert(server);
-    }
-    std::deque<SentUpdate>& unacknowledged = proxies_.at(update.proxy).unacknowledged;
-    unacknowledged.push_back(std::move(sent));
+void UpdateBuilder::await_acknowledgement(ProxyId proxy, Nonce nonce) {
+    std::deque<Nonce>& unacknowledged = proxies_.at(proxy).unacknowledged;
+    unacknowledged.push_back(nonce);
     if (unacknowledged.size() > kMaxUnacknowledged) {
         unacknowledged.pop_front();
     }
--- a/src/updates/update_builder.hpp
+++ b/src/updates/update_builder.hpp
@@ -71,16 +71,9 @@
     /// The last withdrawal or reinstatement of a server that was sent to a proxy.
     struct Notice {
         bool withdrawn = false;
-        bool acknowledged = false;
         bool on_this_stream = true;  ///< sent on the proxy's current stream
     };
 
-    /// An update that awaits acknowledgement.
-    struct SentUpdate {
-        Nonce nonce;
-        std::set<ServerId> servers;  ///< the servers that it withdraws or reinstates
-    };
-
     struct Proxy {
         bool joined = false;
         std::map<MethodId, TableId> tables;                      ///< the table of each bound method
@@ -89,11 +82,11 @@
         /// withdrawn at the proxy, except for steady servers, which no planner had a reason to
         /// withdraw.
         std::map<ServerId, Notice> notices;
-        std::deque<SentUpdate> unacknowledged;  ///< in the order in which they were sent
+        /// Nonces of the updates that await acknowledgement, in the order in which they were sent.
+        std::deque<Nonce> unacknowledged;
     };
 
-    /// Maximum number of stored unacknowledged updates per proxy. Notices in older updates never
-    /// count as acknowledged.
+    /// Maximum number of stored unacknowledged nonces per proxy. Older ones are no longer accepted.
     static constexpr std::size_t kMaxUnacknowledged = 256;
 
     void apply(const order::SetTableEntry& order);
@@ -115,7 +108,7 @@
     void update_admission(ProxyId number, const Proxy& proxy, MethodId method);
     void add_notice(ProxyId number, Proxy& proxy, const ServerId& server, bool withdrawn);
     void ensure_reinstated(ProxyId number, Proxy& proxy, const ServerId& server);
-    void await_acknowledgement(const ProxyUpdate& update, Nonce nonce);
+    void await_acknowledgement(ProxyId proxy, Nonce nonce);
 
     // The ordered state.
     void bind_method(ProxyId number, Proxy& proxy, MethodId method, TableId table);
--- a/tests/drain_oracle_test.cpp
+++ b/tests/drain_oracle_test.cpp
@@ -6,7 +6,8 @@
 //
 // Rule 1: no method of a proxy stays without a server for long while warm servers exist. Rule 3: a
 // proxy stops sending to a drained or removed server within the grace. Rule 5: no more lines than
-// allowed are pending in the channel, and a proxy gets no more messages than allowed.
+// allowed are pending in the channel, and a proxy gets no more messages than allowed. Besides these
+// rules, a server that is listed as ready and warm does not stay withdrawn at a proxy.
 //
 // MICAROAD_ORACLE_SEEDS=1-1000 runs these seeds in place of the default ones.
 #include <fmt/format.h>
@@ -36,7 +37,8 @@
 }
 
 constexpr Duration kTick = s(0.05), kTolerance = s(0.3), kMaxNotificationDelay = s(6),
-                   kMaxRemovedEntryAge = s(50), kMessageLimitWindow = s(10);
+                   kMaxRemovedEntryAge = s(50), kMessageLimitWindow = s(10),
+                   kMaxTimeWithdrawn = s(15);
 
 enum class Disturbance {
     none,
@@ -103,6 +105,7 @@
     StreamId stream{};
     TimePoint joined{}, restarted_at{};
     std::map<std::string, TimePoint> without_server_since{};  // by method
+    std::map<std::string, TimePoint> withdrawn_since{};  // servers in use, listed as ready and warm
 
     // Applies a message and adds the lines that the channel counts for it. Returns its nonce, or a
     // negative number without one.
@@ -528,6 +531,7 @@
         proxy.stream = {++last_stream_};
         proxy.joined = clock_.now();
         proxy.without_server_since.clear();
+        proxy.withdrawn_since.clear();
         planners_[to_planner]->pending_events.push_back(core_event::StreamOpened{
             proxy.stream, {{number}, {proxy.zone}, 2.0 + number % 7, initial_table_only}});
     }
@@ -740,6 +744,30 @@
                     report_violation("rule 1", planner.number, proxy.number, method, now - since);
                 }
             }
+            check_withdrawn_servers(planner, proxy);
+        }
+    }
+    // Guards against withdrawals that a proxy keeps from an earlier stream or another planner.
+    void check_withdrawn_servers(const SimulatedPlanner& planner, Proxy& proxy) {
+        const TimePoint now = clock_.now();
+        const Duration warm_up = spec_.deployment_settings().warm_up_duration;
+        const auto should_be_usable = [&](const std::string& id) {
+            const auto known = planner.known_servers.find(id);
+            return known != planner.known_servers.end() &&
+                   known->second.phase == EndpointPhase::ready &&
+                   now - known->second.started >= warm_up && proxy.ejected.contains(id) &&
+                   proxy.tables.at("lookup").contains(id);
+        };
+        std::erase_if(proxy.withdrawn_since,
+                      [&](const auto& entry) { return !should_be_usable(entry.first); });
+        for (const auto& id : proxy.ejected) {
+            if (!should_be_usable(id)) {
+                continue;
+            }
+            const TimePoint since = proxy.withdrawn_since.try_emplace(id, now).first->second;
+            if (now - since > kMaxTimeWithdrawn) {
+                report_violation("still withdrawn", planner.number, proxy.number, id, now - since);
+            }
         }
     }
     void report_violation(const char* rule, int planner, int proxy, const std::string& subject,
--- a/tests/reference/update_builder.cpp
+++ b/tests/reference/update_builder.cpp
@@ -36,8 +36,8 @@
     proxies_[proxy].joined = true;
 }
 
-// Notices that the proxy may not have got count as withdrawals, so that the server is reinstated
-// together with its next entry.
+// Other planners may withdraw servers at the proxy from now on, so the notices only tell which
+// servers its next binding must reinstate.
 void UpdateBuilder::on_proxy_left(ProxyId number) {
     const auto at = proxies_.find(number);
     if (at == proxies_.end()) {
@@ -51,7 +51,7 @@
     proxy.bound.clear();
     proxy.unacknowledged.clear();
     for (auto& [server, notice] : proxy.notices) {
-        notice.withdrawn |= !notice.acknowledged, notice.on_this_stream = false;
+        notice.on_this_stream = false;
     }
 }
 
@@ -62,22 +62,12 @@
         return false;
     }
     auto& [joined, bound, notices, unacknowledged] = at->second;
-    const auto has_nonce = [&nonce](const auto& update) { return update.first == nonce; };
+    const auto has_nonce = [&nonce](Nonce sent) { return sent == nonce; };
     if (std::none_of(unacknowledged.begin(), unacknowledged.end(), has_nonce)) {
         return false;
     }
     for (bool is_last = false; !is_last; unacknowledged.pop_front()) {
         is_last = has_nonce(unacknowledged.front());
-        for (const ServerId& server : unacknowledged.front().second) {
-            const bool is_sent_later =
-                std::any_of(std::next(unacknowledged.begin()), unacknowledged.end(),
-                            [&server](const auto& later_update) {
-                                return later_update.second.contains(server);
-                            });
-            if (!is_sent_later) {
-                notices[server].acknowledged = true;
-            }
-        }
     }
     return true;
 }
@@ -92,9 +82,6 @@
     withdrawn_.erase(server);
     for (auto& [number, proxy] : proxies_) {
         proxy.notices.erase(server);
-        for (auto& [nonce, servers] : proxy.unacknowledged) {
-            servers.erase(server);
-        }
     }
     return true;
 }
@@ -107,10 +94,7 @@
     for (auto& [number, update] : std::exchange(drafts_, {})) {
         if (update.nonce) {
             auto& unacknowledged = proxies_[number].unacknowledged;
-            unacknowledged.emplace_back(*update.nonce, std::set<ServerId>{});
-            for (const auto& [server, withdrawn] : update.withdrawn) {
-                unacknowledged.back().second.insert(server);
-            }
+            unacknowledged.push_back(*update.nonce);
             if (unacknowledged.size() > kMaxUnacknowledged) {
                 unacknowledged.pop_front();
             }
@@ -337,13 +321,14 @@
         return;
     }
     update_for(number).withdrawn[server] = withdrawn;
-    proxy.notices[server] = {withdrawn, false, true};
+    proxy.notices[server] = {withdrawn, true};
 }
 
 void UpdateBuilder::reinstate_unless_open(ProxyId number, Proxy& proxy, const ServerId& server) {
     const auto notice = proxy.notices.find(server);
-    const bool open =
-        notice != proxy.notices.end() ? !notice->second.withdrawn : steady_.contains(server);
+    const bool open = notice != proxy.notices.end()
+                          ? notice->second.on_this_stream && !notice->second.withdrawn
+                          : steady_.contains(server);
     if (!open && !withdrawn_.contains(server)) {
         send_notice(number, proxy, server, false);
     }
--- a/tests/reference/update_builder.hpp
+++ b/tests/reference/update_builder.hpp
@@ -44,7 +44,7 @@
 
  private:
     static constexpr std::size_t kMaxUnacknowledged =
-        256;  // per proxy; what an older update said stays unacknowledged
+        256;  // per proxy; older nonces are no longer accepted
     using Admissions = std::map<MethodId, ProxyUpdate::Admission>;
     struct Table {
         std::map<ServerId, double> entries;
@@ -56,15 +56,13 @@
     // to withdraw.
     struct Notice {
         bool withdrawn = false;
-        bool acknowledged = false;   // the proxy has acknowledged this update or a later one
         bool on_this_stream = true;  // sent on the proxy's current stream
     };
     struct Proxy {
         bool joined = false;
         std::map<MethodId, TableId> bound;
         std::map<ServerId, Notice> notices;
-        std::deque<std::pair<Nonce, std::set<ServerId>>>
-            unacknowledged;  // nonces and the servers of their updates, in order of sending
+        std::deque<Nonce> unacknowledged;  // nonces of its updates, in order of sending
     };
 
     void apply(const order::SetTableEntry& o);
--- a/tests/update_builder_test.cpp
+++ b/tests/update_builder_test.cpp
@@ -222,17 +222,64 @@
     CHECK(proxy.usable_servers({0}) == std::set<ServerId>{{"a"}, {"b"}});
 }
 
-TEST_CASE("a server that is known to be reinstated is not reinstated again") {
+// Guards against proxies that come back without a server to use: what this planner sent on an
+// earlier stream, acknowledged or not, says nothing about what other planners withdrew since.
+TEST_CASE("a server that another planner withdrew is reinstated at a proxy that comes back") {
+    UpdateBuilder first = builder_with_two_steady_servers();
+    UpdateBuilder second = builder_with_two_steady_servers();
+    FakeProxy proxy;
+    const auto send = [&proxy](UpdateBuilder& planner, const std::vector<Order>& orders) {
+        for (const ProxyUpdate& update : planner.build_updates(orders)) {
+            proxy.apply(update);
+        }
+    };
+    const auto restart_a = [](UpdateBuilder& planner) {
+        event::EndpointListUpdate restarted =
+            list({"a"}, event::EndpointListUpdate::Form::incremental);
+        restarted.servers[0].last_start = TimePoint{Duration{1}};
+        planner.on_endpoint_list(restarted);
+    };
+    first.on_proxy_joined({0});
+    send(first, {set_entry("a", 1), set_entry("b", 1), kBindProxy0, withdraw("a"),
+                 order::SendNonce{{1}, false}});
+    SECTION("the reinstatement was acknowledged") {
+        send(first, {withdraw("a", false), order::SendNonce{{2}, false}});
+        CHECK(first.on_acknowledgement({0}, {2}));
+    }
+    SECTION("the binding reinstated it, after an earlier planner's withdrawal") {
+        first.on_proxy_left({0});
+        first.on_proxy_joined({0});
+        send(first, {withdraw("a", false), kBindProxy0, order::SendNonce{{2}, false}});
+        CHECK(first.on_acknowledgement({0}, {2}));
+    }
+    CHECK(proxy.usable_servers({0}) == std::set<ServerId>{{"a"}, {"b"}});
+    first.on_proxy_left({0});
+    second.on_proxy_joined({0});
+    send(second, {set_entry("a", 1), set_entry("b", 1), kBindProxy0, withdraw("a")});
+    CHECK(proxy.usable_servers({0}) == std::set<ServerId>{{"b"}});
+    second.on_proxy_left({0});
+    restart_a(first);
+    first.on_proxy_joined({0});
+    send(first, {kBindProxy0});
+    CHECK(proxy.usable_servers({0}) == std::set<ServerId>{{"a"}, {"b"}});
+}
+
+TEST_CASE("a server is reinstated once on a stream, and again on the next one") {
     UpdateBuilder update_builder = builder_with_two_steady_servers();
+    const std::map<ServerId, bool> reinstates_a{{{"a"}, false}};
     update_builder.on_proxy_joined({0});
     update_builder.build_updates(
         {set_entry("a", 1), kBindProxy0, withdraw("a"), order::SendNonce{{1}, false}});
-    update_builder.build_updates(
-        {set_entry("a", 2), withdraw("a", false), order::SendNonce{{2}, false}});
+    CHECK(update_builder
+              .build_updates(
+                  {set_entry("a", 2), withdraw("a", false), order::SendNonce{{2}, false}})[0]
+              .withdrawn == reinstates_a);
+    CHECK(update_builder.build_updates({kBindProxy0})[0].withdrawn.empty());
     update_builder.on_acknowledgement({0}, {2});
     update_builder.on_proxy_left({0});
     update_builder.on_proxy_joined({0});
-    CHECK(update_builder.build_updates({kBindProxy0})[0].withdrawn.empty());
+    CHECK(update_builder.build_updates({kBindProxy0})[0].withdrawn == reinstates_a);
+    CHECK(update_builder.build_updates({kBindProxy0, set_entry("a", 3)})[0].withdrawn.empty());
     update_builder.on_proxy_left({0});
     CHECK(update_builder.build_updates({kBindProxy0, withdraw("a"), order::SendNonce{{3}, true}})
               .empty());
