A server first heard of as removed is withdrawn by its name

Cause: the first object of the watch holds a server that came and went since, as removed. EndpointTracker handed such an entry on without keeping it, so a status with an empty name was published; all such servers shared one nameless entry. By the record: each late proxy had reset a stream for server ''; the drain stood in the same message, so list and window were in time. Change: the tracker keeps the first entry of a server even if it is gone and publishes it; it is withdrawn by name, as proxies may have it in another planner's tables. The reference planner alike.

--- a/src/decision/endpoint_tracker.cpp
+++ b/src/decision/endpoint_tracker.cpp
@@ -8,7 +8,8 @@
 namespace micaroad::decision {
 
 void EndpointTracker::on(const EndpointListed& message) {
-    if (message.entry.phase == EndpointPhase::gone) {
+    const bool first_listed = status_.listed.server.value.empty();
+    if (message.entry.phase == EndpointPhase::gone && !first_listed) {
         on(EndpointUnlisted{});
         return;
     }
--- a/src/decision/endpoint_tracker.hpp
+++ b/src/decision/endpoint_tracker.hpp
@@ -24,6 +24,9 @@
 /// at once, with one exception: if the settings allow unlisted endpoints to serve and the endpoint
 /// has answered before, it stays open until it has not answered for the warm-up duration. The
 /// planner removes the tracker of an endpoint that is closed and gone (EndpointStatus::gone).
+///
+/// An endpoint may be gone in the first list that names it. It is published like any other, as
+/// proxies may have it in tables of another planner.
 class EndpointTracker {
  public:
     /// All arguments must outlive the tracker.
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -42,7 +42,10 @@
     EndpointStatus status{};
 
     void on(const EndpointListed& message) {
-        if (message.entry.phase == EndpointPhase::gone) {
+        // Guards against a withdrawal without a name: a server may be gone in the first list that
+        // names it.
+        const bool first_listed = status.entry.server.value.empty();
+        if (message.entry.phase == EndpointPhase::gone && !first_listed) {
             return on(EndpointUnlisted{});
         }
         if (message.entry.last_start && message.entry.last_start != status.entry.last_start) {
--- a/tests/scenario_runner.hpp
+++ b/tests/scenario_runner.hpp
@@ -65,6 +65,7 @@
     }
 
     void apply(const order::SetTableEntry& o) {
+        REQUIRE(!o.server.value.empty());
         REQUIRE(std::isfinite(o.weight));
         REQUIRE(o.weight >= 0);
         if (settings.single_owner && o.weight > 0) {
@@ -77,6 +78,7 @@
         lines += bound_proxy_count(o.table.value);
     }
     void apply(const order::SetWithdrawn& o) {
+        REQUIRE(!o.server.value.empty());
         o.withdrawn ? (void)withdrawn.insert(o.server.value)
                     : (void)withdrawn.erase(o.server.value);
         order_log += "withdraw" + o.server.value + std::to_string(o.withdrawn);
@@ -243,6 +245,10 @@
         } else if (quantity == "level") {
             const int method = number();
             found = admission_levels.contains(method) ? admission_levels[method] : 1;
+        } else if (quantity == "withdrawn") {
+            std::string server;
+            in >> server;
+            found = withdrawn.contains(server) ? 1 : 0;
         } else if (quantity == "tries") {
             found = static_cast<int>(retry_policies[number()]);
         } else {
