Servers that still have to be reinstated do not count for their subset

Cause: servers that warm up had been held back and withdrawn, the subset's last warm server left, and the reinstatement of the others waited 2.7 s for the next learnt round. They were wanted, so the subset did not count as one without servers in use and its proxies did not move. By the trace of the messages to the proxy; a recount after holding back changed nothing. Change: ProxySubsets counts endpoints as usable if they are wanted and not withdrawn; PoolCoverage::missing_pools goes by it, loads stay as they were.

--- a/src/decision/proxy_subsets.cpp
+++ b/src/decision/proxy_subsets.cpp
@@ -14,8 +14,10 @@
         }
         subset.endpoint_count = RealVector(pool_count);
         subset.wanted_weight = RealVector(pool_count);
+        subset.usable_count = RealVector(pool_count);
     }
     wanted_weight_ = RealVector(pool_count);
+    usable_count_ = RealVector(pool_count);
     tables_.set_subset_count(count);
 }
 
@@ -30,6 +32,7 @@
     for (Subset& subset : subsets_) {
         subset.endpoint_count[pool] = 0;
         subset.wanted_weight[pool] = 0;
+        subset.usable_count[pool] = 0;
     }
     for (const auto& [server, table_entry] : tables_.pools()[pool].entries) {
         if (table_entry.endpoint->sent() == 0) {
@@ -38,9 +41,13 @@
         Subset& subset = subsets_[table_entry.endpoint->subset];
         subset.wanted_weight[pool] += table_entry.wanted;
         subset.endpoint_count[pool] += table_entry.wanted > 0 ? 1 : 0;
+        const bool usable = table_entry.wanted > 0 && !table_entry.endpoint->withdrawn;
+        subset.usable_count[pool] += usable ? 1 : 0;
     }
     wanted_weight_[pool] = 0;
+    usable_count_[pool] = 0;
     for (const Subset& subset : subsets_) {
+        usable_count_[pool] += subset.usable_count[pool];
         wanted_weight_[pool] += subset.wanted_weight[pool];
     }
 }
@@ -65,7 +72,8 @@
             continue;
         }
         const double weight = subsets_[subset].wanted_weight[pool];
-        coverage.missing_pools += weight > 0 ? 0 : 1;
+        const bool missing = usable_count_[pool] > 0 && subsets_[subset].usable_count[pool] <= 0;
+        coverage.missing_pools += missing ? 1 : 0;
         coverage.min_pool_share = std::min(coverage.min_pool_share, weight / wanted_weight_[pool]);
     }
     return coverage;
--- a/src/decision/proxy_subsets.hpp
+++ b/src/decision/proxy_subsets.hpp
@@ -42,6 +42,8 @@
     std::optional<ZoneId> zone;  ///< of all its endpoints; absent: it has endpoints of all zones
     RealVector endpoint_count;   ///< by pool
     RealVector wanted_weight;    ///< by pool
+    /// Endpoints in use, by pool. Those that still have to be reinstated are not in use.
+    RealVector usable_count;
     double rpcs_per_second = 0;  ///< of its proxies
     /// Sum over its warmed-up endpoints of their success fraction less kOverloadedSuccessFraction,
     /// multiplied by their weight.
@@ -109,6 +111,7 @@
     std::vector<Subset> subsets_;
     std::map<ProxyId, BoundProxy> bound_proxies_;
     RealVector wanted_weight_;                        // by pool, summed over the subsets
+    RealVector usable_count_;                         // by pool, summed over the subsets
     std::map<SubsetInZone, PoolCoverage> coverages_;  // computed on demand since recount()
 };
 
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -601,7 +601,7 @@
     // proxies; it is overloaded if its success margin is negative.
     struct Subset {
         std::optional<ZoneId> zone;
-        RealVector endpoint_counts, share_sums;
+        RealVector endpoint_counts, share_sums, usable_counts;  // usable: not withdrawn
         double rpcs_per_second, success_margin;
         std::set<ProxyId> proxies;
     };
@@ -778,13 +778,16 @@
         }
         const auto one_if_used = [](RealVector share) { return share[share > 0.0] = 1, share; };
         for (Subset& subset : subsets) {
-            subset.endpoint_counts = subset.share_sums = RealVector(bindings.size()),
+            subset.endpoint_counts = subset.share_sums = subset.usable_counts =
+                RealVector(bindings.size()),
             subset.success_margin = 0;
         }
         for (auto& [id, e] : servers) {
             if (e.sent.sum() > 0) {
                 subsets[e.subset].share_sums += e.wanted,
-                    subsets[e.subset].endpoint_counts += one_if_used(e.wanted);
+                    subsets[e.subset].endpoint_counts += one_if_used(e.wanted),
+                    subsets[e.subset].usable_counts +=
+                    one_if_used(e.wanted) * (e.withdrawn ? 0.0 : 1.0);
                 if (!e.warming_up) {
                     subsets[e.subset].success_margin +=
                         (e.success_fraction - kOverloadedSuccessFraction) * e.wanted.sum();
@@ -835,8 +838,8 @@
         int missing = 0;
         for (std::size_t k = 0; subsets.size() > 1 && k < bindings.size(); ++k) {
             const bool exists = std::ranges::any_of(
-                subsets, [&](const Subset& other) { return other.share_sums[k] > 0; });
-            missing += is_used_in(k, zone) && exists && !(subsets[subset].share_sums[k] > 0);
+                subsets, [&](const Subset& other) { return other.usable_counts[k] > 0; });
+            missing += is_used_in(k, zone) && exists && !(subsets[subset].usable_counts[k] > 0);
         }
         return missing;
     }
