--- a/review/10/case.py
+++ b/review/10/case.py
@@ -45,6 +45,7 @@
                            in_zone[ZONES[number % 3]], record) for number in range(PROXIES)]
     checks = world.Checks(settings, discovery, planners[0], proxies, record)
     tasks = [asyncio.ensure_future(checks.run())]
+    tasks += [asyncio.ensure_future(world.report(planner, ZONES, checks, settings)) for planner in planners]
     draw = random.Random(5)
 
     async def move(proxy):
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -32,7 +32,8 @@
                            in_zone[ZONES[number % 3]], record) for number in range(PROXIES)]
     checks = world.Checks(settings, discovery, planner, proxies, record)
     channel = world.Channel(settings)
-    tasks = [asyncio.ensure_future(checks.run())]
+    tasks = [asyncio.ensure_future(checks.run()),
+             asyncio.ensure_future(world.report(planner, ZONES, checks, settings))]
     try:
         await planner.start()
         for proxy in proxies:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,7 +28,8 @@
     proxies = [world.Proxy(number, ZONES[number % 3], names, 6.5, in_zone[ZONES[number % 3]][:5], record)
                for number in range(PROXIES)]
     checks = world.Checks(settings, discovery, planner, proxies, record)
-    tasks = [asyncio.ensure_future(checks.run())]
+    tasks = [asyncio.ensure_future(checks.run()),
+             asyncio.ensure_future(world.report(planner, ZONES, checks, settings))]
     try:
         await planner.start()
         channel = world.Channel(settings)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -85,8 +85,10 @@
     checks = world.Checks(settings, discovery, planner, proxies, record)
     servers = ColdServers(settings, discovery, record)
     checks.on_sent = servers.take
+    checks.has_failed = lambda server: server in servers.collapsed or server not in discovery.servers
     channel = world.Channel(settings)
-    tasks = [asyncio.ensure_future(checks.run())]
+    tasks = [asyncio.ensure_future(checks.run()),
+             asyncio.ensure_future(world.report(planner, ZONES, checks, settings))]
     try:
         await planner.start()
         for proxy in proxies:
--- a/review/common2/world.py
+++ b/review/common2/world.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import collections
 import json
+import logging
 import os
 import random
 import shutil
@@ -16,6 +18,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 SLACK = 0.3  # PROTOCOL.md: "are 300 ms longer"
+ANSWER_MS = 200.0  # the mean time of the servers' answers
 AFTER_FIRST_ANSWER = 1.0  # PROTOCOL.md: "begin no sooner than 1 s after the planner first answered"
 
 
@@ -245,6 +248,7 @@
         self.ordered = False  # holds a table that was ordered
         self.record = record
         self.writer = None
+        self.planner = None
         self.joined = None
         self.bound_at = None
         self.last_message = 0.0  # when the last message that it has applied entered the channel
@@ -260,6 +264,7 @@
         reader, self.writer = await asyncio.open_connection("127.0.0.1", planner.port)
         self.writer.write(f"hello sidecar={self.number} az={self.zone} share={self.share} "
                           f"standing={0 if self.ordered else 1}\r\n".encode())
+        self.planner = planner
         self.joined = time.time()
         self.bound_at = None
         self.task = asyncio.ensure_future(self.read(reader, self.writer, channel))
@@ -339,6 +344,53 @@
     await asyncio.sleep(0.2)
 
 
+class Count:
+    """Requests since the last report on them."""
+
+    def __init__(self):
+        self.total = 0
+        self.failed = 0
+        self.since = None
+
+    def add(self, failed, now):
+        self.total += 1
+        self.failed += failed
+        self.since = self.since or now
+
+
+async def report(planner, zones, checks, settings):
+    """Has the collector of each zone, and each joined proxy, report to a planner: `hears_per_s` lines at most."""
+    family = settings["family_info"]
+    period = family["report_every_us"] / 1e6
+    collectors = {}
+    while True:
+        await asyncio.sleep(period)
+        now = time.time()
+        lines = int(family["hears_per_s"] * period)
+        try:
+            for zone in zones:
+                if zone not in collectors or collectors[zone].is_closing():
+                    _, collectors[zone] = await asyncio.open_connection("127.0.0.1", planner.port)
+                    collectors[zone].write(f"agent az={zone}\r\n".encode())
+            # Those that have waited longest go first; the rest follows later.
+            for key, count in sorted(checks.outcomes.items(), key=lambda item: item[1].since):
+                if key[0] is planner and lines > 0:
+                    lines -= 1
+                    average = ANSWER_MS if count.total > count.failed else 0.0
+                    collectors[key[1]].write(f"outcomes az={key[1]} host={key[2]} n={count.total} bad={count.failed} "
+                                             f"avg={average} window={period * 1e3}\r\n".encode())
+                    del checks.outcomes[key]
+            for key, count in sorted(checks.demand.items(), key=lambda item: item[1].since):
+                proxy, name = key
+                if proxy.planner is planner and proxy.joined and lines > 0:
+                    lines -= 1
+                    proxy.writer.write(f"demand sidecar={proxy.number} kind={name} n={count.total} bad=0 "
+                                       f"window={max(now - count.since, period) * 1e3:.1f}\r\n".encode())
+                    del checks.demand[key]
+        except OSError:
+            collectors.clear()  # the planner is away
+
+
 class Checks:
     """Has the proxies send requests by their tables, and holds every request against rules 1 and 3."""
 
@@ -359,8 +411,14 @@
         self.shed = 0
         self.last_check = time.time()
         self.step = 0.0
+        self.outcomes = collections.defaultdict(Count)  # by planner, zone of the proxies and server
+        self.demand = collections.defaultdict(Count)  # by proxy and class
         self.on_sent = None  # called with each request's proxy, server and time
 
+    def has_failed(self, server):
+        """Whether a request to the server fails: it is gone."""
+        return server not in self.discovery.servers
+
     def is_served_by_list(self, name, zone, now):
         warm = self.rules["warm_after_us"] / 1e6
         return any(e["state"] == "up" and now - e["started_ms"] / 1e3 >= warm and
@@ -387,6 +445,7 @@
         drained = None
         expected = proxy.share / len(proxy.classes) * self.step
         for _ in range(int(expected) + (self.random.random() < expected % 1)):
+            self.demand[(proxy, name)].add(False, now)
             if self.random.random() >= proxy.levels[name]:
                 self.shed += 1
             elif not usable:
@@ -394,6 +453,7 @@
             else:
                 server = self.random.choices(list(usable), list(usable.values()))[0]
                 self.sent += 1
+                self.outcomes[(proxy.planner, proxy.zone, server)].add(self.has_failed(server), now)
                 drained = server if server in self.discovery.told else drained
                 if self.on_sent:
                     self.on_sent(proxy, server, now)
@@ -464,6 +524,8 @@
     if not os.access(os.path.join(ROOT, "build", "micaroad"), os.X_OK):
         record.write("cannot run: build/micaroad is missing")
         return 2
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # else each write to a broken stream is told
+    sys.unraisablehook = lambda _: None  # streams that are still open at the end
     try:
         broken = asyncio.run(asyncio.wait_for(scenario(record, trouble), 110))
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
