--- a/review/10/case.py
+++ b/review/10/case.py
@@ -76,4 +76,4 @@
     return any(rule == 3 for rule, _, _ in checks.broken)
 
 
-sys.exit(world.main(os.path.dirname(os.path.abspath(__file__)), scenario))
+sys.exit(world.main(sys.argv[1], scenario))  # the path of record.txt
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -110,4 +110,4 @@
     return bool(servers.collapsed)
 
 
-sys.exit(world.main(os.path.dirname(os.path.abspath(__file__)), scenario))
+sys.exit(world.main(sys.argv[1], scenario))  # the path of record.txt
--- a/review/common2/world.py
+++ b/review/common2/world.py
@@ -168,6 +168,7 @@
                                                                         "sockets": 1024},
                        "known": discovery.whole(), "settings": settings}
         self.process = None
+        self.stopped = False
         self.first_answer = None
         self.write_config()
 
@@ -182,6 +183,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run, cwd=ROOT, stdout=log, stderr=log,
                 env=dict(os.environ, LB_CONFIG=self.path, TMPDIR=self.folder))
+        self.stopped = False
         self.record.write(f"planner started pid={self.process.pid}")
         for _ in range(300):
             try:
@@ -200,13 +202,14 @@
 
     async def stop(self, number=signal.SIGTERM):
         if self.process and self.process.returncode is None:
+            self.stopped = True
             self.process.send_signal(number)
             await self.process.wait()
             self.record.write(f"planner ended code={self.process.returncode}")
 
-    def log_lines(self):
-        with open(os.path.join(self.folder, "log.txt"), encoding="utf-8", errors="replace") as file:
-            return file.read().splitlines()
+    def has_died(self):
+        """Whether it ended without being told to."""
+        return self.process is not None and self.process.returncode is not None and not self.stopped
 
 
 class Channel:
@@ -331,8 +334,12 @@
 
 
 async def end(planners, proxies, discoveries, tasks):
-    """Ends everything that a case has started."""
-    for task in tasks:
+    """Ends everything that a case has started. Raises if one of its tasks or proxies had failed by itself."""
+    readers = [proxy.task for proxy in proxies if proxy.task]
+    failed = [task.exception() for task in tasks + readers
+              if task.done() and not task.cancelled() and task.exception()]
+    died = [planner for planner in planners if planner.has_died()]
+    for task in tasks + readers:
         task.cancel()
     for planner in planners:
         await planner.stop(signal.SIGKILL)
@@ -342,6 +349,8 @@
     for discovery in discoveries:
         discovery.close()
     await asyncio.sleep(0.2)
+    if failed or died:
+        raise CannotRun(f"stand-ins failed: {failed!r}, planners ended by themselves: {len(died)}")
 
 
 class Count:
@@ -498,7 +507,7 @@
     info = {"admission": "share", "base_mode": 1, "buffer_for_us": 300000, "channel_rate": 1600.0,
             "class_writes": [False] * len(classes), "data_plane_size": 9, "exclusive": False, "first_wait": 0.8,
             "head": 3.0, "hears_per_s": 150.0, "initial_set": 5, "lease_us": 2500000, "messages_over_us": 10000000,
-            "outlier_after": 8, "pick": "round", "push_price": 0.04, "pushes_allowed": 0, "queue_cap": 1600.0,
+            "outlier_after": 0, "pick": "weighted", "push_price": 0.04, "pushes_allowed": 0, "queue_cap": 1600.0,
             "report_every_us": 500000, "shift_fee": 0.01, "slices": 0, "sockets_min": 244.0, "stays_local": local,
             "transit_max_us": 442500, "transit_us": 177000, "unserved_max_us": 2100000, "warm_keys": True,
             "write_life_us": 5020000, "zonal": False}
@@ -516,9 +525,17 @@
             "tick_us": 2000, "weights": "rough", "worth_by": "request", "zones": zones}
 
 
-def main(folder, scenario):
-    """Runs `scenario(record, trouble)`, which returns the checks, and exits as the review's page asks."""
-    record = Record(os.path.join(folder, "record.txt"))
+async def play(scenario, record, trouble):
+    """Ends the scenario, and with it all that it started, at 110 s or when this process is told to end."""
+    played = asyncio.ensure_future(scenario(record, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, played.cancel)
+    return await asyncio.wait_for(played, 110)
+
+
+def main(path, scenario):
+    """Runs `scenario(record, trouble)`, which tells whether the rule was broken, and returns the exit code."""
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble={int(trouble)}")
     if not os.access(os.path.join(ROOT, "build", "micaroad"), os.X_OK):
@@ -527,8 +544,8 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # else each write to a broken stream is told
     sys.unraisablehook = lambda _: None  # streams that are still open at the end
     try:
-        broken = asyncio.run(asyncio.wait_for(scenario(record, trouble), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        broken = asyncio.run(play(scenario, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:  # a fault of the case says nothing of the rule
         record.write(f"cannot run: {error!r}")
         return 2
     record.write("the rule was broken" if broken else "the rule held")
