Changes too large for all proxies at once are sent to groups of proxies

Cause: a change is one order for all bound proxies of a subset, and UpdateSender::fits asks that its lines to all of them fit at once into the window for its kind: 720 lines at 5 lines a proxy never fit for more than 144, and what is behind it waits too. Related, same comparison: learnt weights (96 proxies), admitted fractions (80), withdrawals (288; 300 proxies kept a draining server), and the limit of the learnt allowance. Change: the first update of a round may be larger than its window while nothing is pending. ProxyGroups divides the proxies of a subset into groups with copies of its tables; GroupSender sends a change that is too large for all to one group after the other, withdrawals first. A full allowance lets a larger learnt change pass, which is owed. The reference planner alike. UnboundNotices is taken out of UpdateSender, as both senders need it.

--- a/src/decision/proxy_binder.cpp
+++ b/src/decision/proxy_binder.cpp
@@ -121,18 +121,27 @@
 }
 
 std::optional<double> ProxyBinder::bind(const Target& target, double available_lines) {
-    const std::optional<double> cost = cost_of_binding(target.zone, target.subset);
+    std::optional<double> cost = cost_of_binding(target.zone, target.subset);
+    const std::optional<std::size_t> with_room =
+        state_.subsets.groups().find_with_room(target.subset, state_.max_group_size());
+    if (cost && with_room) {
+        // The group's tables may still have entries that the subset's no longer have.
+        const ProxyGroup& group = state_.subsets.groups().all()[*with_room];
+        *cost += static_cast<double>(group.unsent_entries.size());
+    }
     if (!cost || *cost > available_lines) {
         return std::nullopt;
     }
+    const std::size_t group = with_room ? *with_room : open_group(target.subset);
+    const std::size_t table_set = state_.subsets.groups().all()[group].table_set;
     std::vector<Order> orders;
     for (std::size_t pool = 0; pool < state_.tables.pools().size(); ++pool) {
         if (state_.tables.pools()[pool].serves(target.zone)) {
-            orders.push_back(order::BindProxy{state_.table_of(pool, target.subset),
+            orders.push_back(order::BindProxy{state_.table_of(pool, table_set),
                                               state_.binding(pool).methods, target.proxy});
         }
     }
-    apply(target, false, orders, *cost);
+    apply(target, group, orders, *cost);
     return cost;
 }
 
@@ -161,7 +170,7 @@
     if (!any_endpoint || cost > available_lines) {
         return std::nullopt;
     }
-    apply(target, true, orders, cost);
+    apply(target, std::nullopt, orders, cost);
     return cost;
 }
 
@@ -183,15 +192,34 @@
     return entries;
 }
 
-void ProxyBinder::apply(const Target& target, bool partial, const std::vector<Order>& orders,
-                        double cost) {
+std::size_t ProxyBinder::open_group(std::size_t subset) {
+    const std::size_t group = state_.subsets.groups().add_group(subset);
+    const std::size_t table_set = state_.subsets.groups().all()[group].table_set;
+    for (std::size_t pool = 0; pool < state_.tables.pools().size(); ++pool) {
+        const TableId table = state_.table_of(pool, table_set);
+        for (const auto& [server, entry] : state_.tables.pools()[pool].entries) {
+            if (entry.endpoint->subset == subset && entry.sent > 0) {
+                state_.context.orders.push_back(
+                    order::SetTableEntry{table, *entry.endpoint->server, entry.sent});
+            }
+        }
+    }
+    if (admission_.any_sent()) {
+        admission_.append_last_sent({&table_set, 1}, state_.context.orders);
+    }
+    return group;
+}
+
+void ProxyBinder::apply(const Target& target, std::optional<std::size_t> group,
+                        const std::vector<Order>& orders, double cost) {
+    const bool partial = !group;
     std::vector<Order>& sink = state_.context.orders;
     sink.insert(sink.end(), orders.begin(), orders.end());
     clear_own_tables(target.proxy);
     BindingTimes times = binding_times(target.proxy);
     state_.message_limit.add_binding(times, state_.context.now);
     state_.subsets.bind(target.proxy, {target.zone, target.rpcs_per_second, target.subset, partial,
-                                       target.displaced, std::move(times)});
+                                       target.displaced, std::move(times), group.value_or(0)});
     state_.send_window.charge(target.proxy, cost);
     if (partial) {
         partially_bound_.push_back(target.proxy);
--- a/src/decision/proxy_binder.hpp
+++ b/src/decision/proxy_binder.hpp
@@ -53,7 +53,12 @@
     std::optional<double> bind_partially(const Target& target, double available_lines);
     std::optional<double> apply(const ProxyMove& move, bool displaced, double available_lines);
 
-    void apply(const Target& target, bool partial, const std::vector<Order>& orders, double cost);
+    /// `group` is absent for a partial binding.
+    void apply(const Target& target, std::optional<std::size_t> group,
+               const std::vector<Order>& orders, double cost);
+    /// Adds a group to the subset, with copies of its tables. Costs no lines, as no proxy uses them
+    /// yet.
+    std::size_t open_group(std::size_t subset);
     void clear_own_tables(ProxyId proxy);
     /// Empty if the proxy is not bound.
     [[nodiscard]] BindingTimes binding_times(ProxyId proxy) const;
--- a/src/decision/proxy_subsets.cpp
+++ b/src/decision/proxy_subsets.cpp
@@ -4,7 +4,7 @@
 
 namespace micaroad::decision {
 
-void ProxySubsets::create_subsets(std::size_t count, int zone_count) {
+void ProxySubsets::create_subsets(std::size_t count, int zone_count, std::size_t max_proxies) {
     const std::size_t pool_count = tables_.pools().size();
     subsets_.assign(count, {});
     for (std::size_t i = 0; i < count; ++i) {
@@ -18,6 +18,7 @@
     }
     wanted_weight_ = RealVector(pool_count);
     usable_count_ = RealVector(pool_count);
+    groups_.reset(count, count + max_proxies);
     tables_.set_subset_count(count);
 }
 
@@ -94,6 +95,9 @@
     if (binding.displaced) {
         subset.displaced_proxies.insert(proxy);
     }
+    if (!binding.partial) {
+        groups_.add_proxy(binding.group, proxy);
+    }
     subset.rpcs_per_second += binding.rpcs_per_second;
 }
 
@@ -102,6 +106,9 @@
     if (!bound) {
         return;
     }
+    if (!bound.mapped().partial) {
+        groups_.remove_proxy(bound.mapped().group, proxy);
+    }
     Subset& subset = subsets_[bound.mapped().subset];
     subset.proxies.erase(proxy);
     subset.displaced_proxies.erase(proxy);
--- a/src/decision/proxy_subsets.hpp
+++ b/src/decision/proxy_subsets.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decision/message_limit.hpp"
+#include "decision/proxy_groups.hpp"
 #include "decision/queue_model.hpp"
 #include "decision/routing_tables.hpp"
 
@@ -26,6 +27,7 @@
     /// Moved here because its subset had no endpoint of a pool in use, and not moved again since.
     bool displaced = false;
     BindingTimes binding_times;  ///< on its current stream
+    std::size_t group = 0;       ///< in ProxyGroups; without a meaning if the binding is partial
 };
 
 /// How much of the pools that the proxies of a zone use a subset has.
@@ -74,10 +76,15 @@
         return bound_proxies_;
     }
 
-    /// Creates `count` empty subsets; allowed only while no proxy is bound and no table entry is
-    /// sent. With more than one zone the subsets are assigned to the zones in rotation; otherwise
-    /// each has endpoints of all zones.
-    void create_subsets(std::size_t count, int zone_count);
+    /// The groups of all subsets.
+    [[nodiscard]] const ProxyGroups& groups() const { return groups_; }
+    [[nodiscard]] ProxyGroups& groups() { return groups_; }
+
+    /// Creates `count` empty subsets with one group each; allowed only while no proxy is bound and
+    /// no table entry is sent. Table sets of further groups follow those of the proxies, of which
+    /// there are at most `max_proxies`. With more than one zone the subsets are assigned to the
+    /// zones in rotation; otherwise each has endpoints of all zones.
+    void create_subsets(std::size_t count, int zone_count, std::size_t max_proxies);
     /// Recomputes the endpoint counts and wanted weights of all subsets for these pools.
     void recount(const RoutingTables::PoolSet& pools);
     /// Add an endpoint to the counts of its subset, or remove it again. recount() counts only
@@ -109,6 +116,7 @@
 
     RoutingTables& tables_;
     std::vector<Subset> subsets_;
+    ProxyGroups groups_;
     std::map<ProxyId, BoundProxy> bound_proxies_;
     RealVector wanted_weight_;                        // by pool, summed over the subsets
     RealVector usable_count_;                         // by pool, summed over the subsets
--- a/src/decision/routing_tables.cpp
+++ b/src/decision/routing_tables.cpp
@@ -132,8 +132,12 @@
     }
 }
 
-void RoutingTables::take_first_change() {
-    const PendingChange change = first_change();
+std::optional<PendingChange> RoutingTables::next_change(const PendingChange& change) const {
+    const auto next = pending_changes_.upper_bound(change);
+    return next == pending_changes_.end() ? std::nullopt : std::optional(*next);
+}
+
+void RoutingTables::take_change(const PendingChange& change) {
     RoutingEntry& entry = entry_of(change);
     if (change.pool) {
         drop(pools_[*change.pool].entries.at(entry.server).planned, change.server, change.pool);
--- a/src/decision/routing_tables.hpp
+++ b/src/decision/routing_tables.hpp
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -119,11 +120,15 @@
 
     [[nodiscard]] bool has_pending_changes() const { return !pending_changes_.empty(); }
     [[nodiscard]] const PendingChange& first_change() const { return *pending_changes_.begin(); }
+    /// The first pending change that is sent after `change`; absent if there is none.
+    [[nodiscard]] std::optional<PendingChange> next_change(const PendingChange& change) const;
     /// The endpoint that a pending change is about.
     [[nodiscard]] RoutingEntry& entry_of(const PendingChange& change) {
         return endpoints_.at(change.server);
     }
-    void take_first_change();
+    /// Removes a pending change, which is being sent.
+    void take_change(const PendingChange& change);
+    void take_first_change() { take_change(PendingChange(first_change())); }
 
     /// Plans a withdrawal or reinstatement instead of all changes of the endpoint's weights.
     void plan_availability_change(RoutingEntry& entry, const PlannedChange& change);
--- a/src/decision/subset_assignment.cpp
+++ b/src/decision/subset_assignment.cpp
@@ -47,7 +47,7 @@
 
 void SubsetAssignment::assign(const RoutingTables::PoolSet& pools, bool weights_published) {
     const RoutingTables& tables = state_.tables;
-    if (state_.subsets.bound_proxies().empty() &&
+    if (state_.subsets.bound_proxies().empty() && !state_.subsets.groups().any_unsent() &&
         tables.unsent().size() == tables.endpoints().size()) {
         create_subsets();
     }
@@ -78,7 +78,8 @@
     const bool one_zone_each = settings.zone_count > 1 && useful_count >= settings.zone_count;
     const double zones = one_zone_each ? settings.zone_count : 1;
     const double count = std::max(1.0, std::ceil(useful_count / zones) * zones);
-    state_.subsets.create_subsets(static_cast<std::size_t>(count), static_cast<int>(zones));
+    state_.subsets.create_subsets(static_cast<std::size_t>(count), static_cast<int>(zones),
+                                  static_cast<std::size_t>(std::max(1, settings.proxy_count)));
 }
 
 double SubsetAssignment::wanted_table_entries() const {
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -13,13 +13,6 @@
 // delay.
 constexpr int kDelaysUntilStopped = 4;
 
-// Fraction of the channel's pace that learnt changes use; the value is the design's.
-constexpr double kLearntPaceFraction = 0.5;
-
-// The allowance that learnt changes leave unused accumulates up to what the channel sends in this
-// time, in seconds.
-constexpr double kAllowanceSeconds = 2;
-
 // Updates wait for bindings until the oldest withdrawal has been due for the drain grace divided by
 // this.
 constexpr int kMaxHoldDivisor = 4;
@@ -100,7 +93,7 @@
         binder_.rebalance();
     }
     if (!are_changes_held()) {
-        sender_.send();
+        send_updates();
     }
     if (state_.subsets.size() == 1) {
         bind_proxies();
@@ -122,8 +115,7 @@
         {.lines_at_most = pace * elapsed,
          .lines_at_least = kAssuredPaceFraction * pace * elapsed,
          .acknowledgements_stopped = now > last_acknowledgement_ + stopped_after});
-    state_.learnt_allowance = std::min(
-        state_.learnt_allowance + kLearntPaceFraction * pace * elapsed, pace * kAllowanceSeconds);
+    state_.add_learnt_allowance(elapsed);
 }
 
 void UpdateScheduler::bind_proxies() {
@@ -131,6 +123,14 @@
     binder_.complete_partial_bindings();
 }
 
+void UpdateScheduler::send_updates() {
+    if (state_.is_sent_by_group()) {
+        group_sender_.send();
+    } else {
+        sender_.send();
+    }
+}
+
 // With several subsets, updates wait for proxies to be bound: until then each unbound proxy would
 // have to be sent every withdrawal.
 bool UpdateScheduler::are_changes_held() const {
--- a/src/decision/update_scheduler.hpp
+++ b/src/decision/update_scheduler.hpp
@@ -9,6 +9,7 @@
 
 #include "decision/admission_updates.hpp"
 #include "decision/decision_context.hpp"
+#include "decision/group_sender.hpp"
 #include "decision/mailbox.hpp"
 #include "decision/messages.hpp"
 #include "decision/proxy_binder.hpp"
@@ -49,6 +50,7 @@
  private:
     void advance_send_window();
     void bind_proxies();
+    void send_updates();
     [[nodiscard]] bool are_changes_held() const;
 
     SchedulerState state_;
@@ -57,6 +59,7 @@
     ProxyBinder binder_{state_, assignment_, admission_};
     UpdatePlanner planner_{state_, assignment_};
     UpdateSender sender_{state_, admission_};
+    GroupSender group_sender_{state_, admission_};
     TimePoint last_tick_;
     /// When an acknowledgement last arrived, or nothing was pending.
     TimePoint last_acknowledgement_;
--- a/src/decision/update_sender.cpp
+++ b/src/decision/update_sender.cpp
@@ -1,7 +1,6 @@
 #include "decision/update_sender.hpp"
 
 #include <algorithm>
-#include <numeric>
 
 #include "decision/numeric.hpp"
 
@@ -9,10 +8,6 @@
 
 namespace {
 
-// Overhead of a message in lines as the design counts it; the allowance of learnt changes is
-// counted with it.
-constexpr double kDesignLinesPerMessage = 6;
-
 /// Whether the endpoint's withdrawal was sent already and only has to reach proxies that joined
 /// since.
 bool is_repeated_withdrawal(const RoutingEntry& entry) {
@@ -21,25 +16,22 @@
 
 }  // namespace
 
-double UpdateSender::Round::unbound_joined_after(int join) const {
-    return static_cast<double>(unbound_joins.end() - std::ranges::upper_bound(unbound_joins, join));
-}
-
 void UpdateSender::Round::add(const Cost& cost) {
     for (std::size_t i = 0; i < subset_lines.size(); ++i) {
         if (!cost.subset || *cost.subset == i) {
             subset_lines[i] += cost.lines;
         }
     }
-    unbound_lines += unbound_joined_after(cost.unbound_after_join);
-    first_notified_join = std::min(first_notified_join, cost.unbound_after_join);
-    notified_joins.push_back(cost.unbound_after_join);
+    notices.add(cost.unbound_after_join);
     (cost.rank == ChangeRank::urgent ? urgent_sent : learnt_sent) = true;
 }
 
 void UpdateSender::send() {
-    Round round = begin_round();
-    update_admission_pause();
+    Round round(state_);
+    const double proxies_per_subset =
+        1.0 * static_cast<double>(state_.subsets.bound_proxies().size()) /
+        static_cast<double>(std::max<std::size_t>(state_.subsets.size(), 1));
+    state_.update_admission_pause(state_.withdrawals.count * proxies_per_subset);
     send_admission(round);
     send_transfers(round);
     send_table_changes(round);
@@ -49,39 +41,8 @@
     }
 }
 
-// The planner does not know what unbound proxies hold, so each is sent all withdrawals and
-// reinstatements since it joined.
-UpdateSender::Round UpdateSender::begin_round() const {
-    Round round;
-    for (const UnboundProxy& unbound : state_.unbound_proxies.all()) {
-        round.unbound_joins.push_back(unbound.join_number);
-    }
-    std::ranges::sort(round.unbound_joins);
-    round.subset_lines.resize(state_.subsets.size());
-    round.first_notified_join = state_.unbound_proxies.last_join();
-    return round;
-}
-
-// Pauses admission when the pending withdrawals, for many endpoints or many proxies, take longer to
-// send than the drain grace allows. No RPC is admitted until all of them are sent, which costs
-// service for that time.
-void UpdateSender::update_admission_pause() {
-    const DeploymentSettings& settings = state_.context.settings;
-    const PendingWithdrawals& withdrawals = state_.withdrawals;
-    const double proxies_per_subset =
-        1.0 * static_cast<double>(state_.subsets.bound_proxies().size()) /
-        static_cast<double>(std::max<std::size_t>(state_.subsets.size(), 1));
-    const double seconds_to_send =
-        (state_.send_window.pending() + withdrawals.count * proxies_per_subset) /
-        (kAssuredPaceFraction * state_.pace());
-    const Duration remaining_grace = withdrawals.oldest_due + settings.drain_grace -
-                                     settings.max_message_delay - state_.context.now;
-    const bool too_many = seconds_to_send > seconds(remaining_grace);
-    admission_paused_ = withdrawals.count > 0 && (admission_paused_ || too_many);
-}
-
 void UpdateSender::send_admission(Round& round) {
-    const AdmissionSetting setting = admission_.next_setting(admission_paused_);
+    const AdmissionSetting setting = admission_.next_setting(state_.admission_paused);
     if (!admission_.is_significant(setting)) {
         return;
     }
@@ -92,8 +53,10 @@
     }
     round.add(cost);
     admission_.set_sent(setting);
-    std::vector<std::size_t> table_sets(state_.subsets.size());
-    std::iota(table_sets.begin(), table_sets.end(), std::size_t{0});
+    std::vector<std::size_t> table_sets;
+    for (const ProxyGroup& group : state_.subsets.groups().all()) {
+        table_sets.push_back(group.table_set);
+    }
     admission_.append_last_sent(table_sets, state_.context.orders);
     for (const auto& [proxy, bound] : state_.subsets.bound_proxies()) {
         if (bound.partial) {
@@ -136,10 +99,8 @@
     if (state_.context.now < (urgent ? next_urgent_round_ : next_learnt_round_)) {
         return false;
     }
-    const int notified_join = std::min(round.first_notified_join, cost.unbound_after_join);
     const double to_unbound =
-        round.unbound_lines + round.unbound_joined_after(cost.unbound_after_join) +
-        state_.lines_per_message() * round.unbound_joined_after(notified_join);
+        round.notices.lines_with(cost.unbound_after_join, state_.lines_per_message());
     const double to_bound =
         lines_to_bound(round, state_.lines_per_message(), cost.lines, cost.subset);
     // A reinstatement adds capacity: it may use as much of the window as a binding, and the
@@ -149,12 +110,17 @@
     if (reinstates) {
         use = WindowUse::binding;
     }
-    if (to_bound + to_unbound > state_.available_window(use)) {
+    // The first update of a round may be larger than the window for its use: it would never be sent
+    // otherwise.
+    const double available =
+        std::max(state_.available_window(use),
+                 round.notices.empty() ? state_.available_for_large_update() : 0);
+    if (to_bound + to_unbound > available) {
         return false;
     }
     return urgent || reinstates ||
-           lines_to_bound(round, kDesignLinesPerMessage, cost.lines, cost.subset) <=
-               std::max(state_.learnt_allowance, 0.0);
+           state_.allows_learnt(
+               lines_to_bound(round, kDesignLinesPerMessage, cost.lines, cost.subset));
 }
 
 double UpdateSender::lines_to_bound(const Round& round, double lines_per_message, double more_lines,
@@ -226,22 +192,19 @@
         if (!selected || table_entry.wanted == table_entry.sent) {
             continue;
         }
-        state_.context.orders.push_back(order::SetTableEntry{
-            state_.table_of(pool_entry.pool, entry.subset), *entry.server, table_entry.wanted});
+        for (const ProxyGroup& group : state_.subsets.groups().all()) {
+            if (group.subset == entry.subset) {
+                state_.context.orders.push_back(
+                    order::SetTableEntry{state_.table_of(pool_entry.pool, group.table_set),
+                                         *entry.server, table_entry.wanted});
+            }
+        }
         table_entry.sent = table_entry.wanted;
     }
 }
 
 void UpdateSender::charge(Round& round) {
-    std::ranges::sort(round.notified_joins);
-    for (const UnboundProxy& unbound : state_.unbound_proxies.all()) {
-        const auto notified = std::ranges::lower_bound(round.notified_joins, unbound.join_number) -
-                              round.notified_joins.begin();
-        if (notified > 0) {
-            state_.send_window.charge(unbound.proxy,
-                                      state_.lines_per_message() + static_cast<double>(notified));
-        }
-    }
+    round.notices.charge(state_.send_window, state_.lines_per_message());
     for (const auto& [proxy, bound] : state_.subsets.bound_proxies()) {
         const double lines = round.subset_lines[bound.subset];
         if (lines > 0) {
@@ -250,7 +213,7 @@
     }
     if (round.learnt_sent) {
         const double lines = lines_to_bound(round, kDesignLinesPerMessage, 0, std::nullopt);
-        state_.learnt_allowance = std::max(0.0, state_.learnt_allowance - lines);
+        state_.learnt_allowance -= lines;
     }
 }
 
--- a/src/decision/update_sender.hpp
+++ b/src/decision/update_sender.hpp
@@ -9,6 +9,7 @@
 
 #include "decision/admission_updates.hpp"
 #include "decision/scheduler_state.hpp"
+#include "decision/unbound_notices.hpp"
 
 namespace micaroad::decision {
 
@@ -38,22 +39,18 @@
 
     /// What one call of send() has written so far.
     struct Round {
-        std::vector<int> unbound_joins;    ///< join numbers of the unbound proxies, ascending
+        explicit Round(const SchedulerState& state)
+            : notices(state.unbound_proxies), subset_lines(state.subsets.size()) {}
+
+        UnboundNotices notices;
         std::vector<double> subset_lines;  ///< lines for each proxy of a subset, by subset
-        std::vector<int> notified_joins;   ///< Cost::unbound_after_join of each update
-        double unbound_lines = 0;          ///< lines for all unbound proxies together
-        int first_notified_join = 0;  ///< the smallest of notified_joins; the last join if empty
         bool urgent_sent = false;
         bool learnt_sent = false;
 
-        /// Number of unbound proxies that joined after this join.
-        [[nodiscard]] double unbound_joined_after(int join) const;
         /// Counts an update that is written.
         void add(const Cost& cost);
     };
 
-    [[nodiscard]] Round begin_round() const;
-    void update_admission_pause();
     void send_admission(Round& round);
     void send_transfers(Round& round);
     void send_table_changes(Round& round);
@@ -72,7 +69,6 @@
     SchedulerState& state_;
     AdmissionUpdates& admission_;
     std::deque<OwnershipTransfer> transfers_;
-    bool admission_paused_ = false;
     TimePoint next_urgent_round_;
     TimePoint next_learnt_round_;
 };
--- a/tests/drain_oracle_test.cpp
+++ b/tests/drain_oracle_test.cpp
@@ -47,7 +47,8 @@
     cold_return,
     mass_replacement,
     takeover,
-    zone_loss
+    zone_loss,
+    one_planner  // all proxies are at it and stay; servers are replaced one at a time
 };
 
 // The parameters of a simulation. The settings give the channel a pace of lines_per_second; it
@@ -184,8 +185,12 @@
         if (spec_.disturbance != Disturbance::none) {
             schedule_after(s(12), [this] { disturb_fleet(); });
         }
-        schedule_after(s(4), [this] { replace_one_server(); });
-        schedule_after(s(3), [this] { break_streams(); });
+        if (spec_.disturbance == Disturbance::one_planner) {
+            schedule_after(s(25), [this] { replace_one_server(); });
+        } else {
+            schedule_after(s(4), [this] { replace_one_server(); });
+            schedule_after(s(3), [this] { break_streams(); });
+        }
         schedule_after(s(9), [this] { disturb_watch(); });
         schedule_after(s(0.5), [this] { report(); });
     }
@@ -370,12 +375,15 @@
             change(keeps_id ? id : fmt::format("s-{}", next_number_++),
                    {zone, EndpointPhase::ready, clock_.now()});
         });
-        schedule_after(s(uniform(1, 3.5)), [this] { replace_one_server(); });
+        const bool one_at_a_time = spec_.disturbance == Disturbance::one_planner;
+        schedule_after(s(one_at_a_time ? uniform(6, 9) : uniform(1, 3.5)),
+                       [this] { replace_one_server(); });
     }
     // ---- disturbances of the whole fleet
     void disturb_fleet() {
         switch (spec_.disturbance) {
             case Disturbance::none:
+            case Disturbance::one_planner:
                 break;
             case Disturbance::rolling_restart:  // planners restart one after another
                 for (int p = 0; p < spec_.planners; ++p) {
@@ -879,6 +887,16 @@
     }
 }
 
+// Guards against changes that are never sent as they don't fit into the channel for all proxies at
+// once (issue 56, review/6): all proxies are at one planner, and a server is replaced now and then.
+TEST_CASE("withdrawals and reinstatements are sent in time when all proxies are at one planner") {
+    for (const int proxies : {180, 300, 400}) {
+        CHECK(count_violations({"one planner", Disturbance::one_planner, 1, proxies, 8, 1'600,
+                                1'600, 1, s(70), 0, true, s(2), 0, s(2.1)},
+                               1, 6) == 0);
+    }
+}
+
 // Guards against late drains where messages to a proxy are far apart: with twelve in 10 s urgent
 // rounds are 1.6 s apart, and the grace is 2 s. Found beside issue 50.
 TEST_CASE("proxies leave draining servers in time where twelve messages are allowed in 10 s") {
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -605,10 +605,25 @@
         double rpcs_per_second, success_margin;
         std::set<ProxyId> proxies;
     };
+    // Proxies of a subset that share a copy of its tables, and what they have not been sent yet, by
+    // rank: 0 for urgent changes, -1 for fresh capacity, 1 for all others.
+    struct Group {
+        std::size_t subset = 0, table_set = 0;
+        std::set<ProxyId> proxies{};
+        std::map<std::pair<std::size_t, ServerId>, int> unsent{};  // entries, by pool and server
+        std::optional<int> unsent_admission{};
+        TimePoint next_urgent{}, next_other{};
+        double count(int rank) const {
+            return 1.0 * std::ranges::count(std::views::values(unsent), rank) +
+                   (unsent_admission == rank);
+        }
+    };
     DecisionContext& context;
     std::vector<PoolBinding> bindings{};  // by pool
     std::map<ServerId, Entry> servers{};
     std::vector<Subset> subsets{};
+    std::vector<Group> groups{};
+    TimePoint next_notices{};
     std::map<ProxyId, BoundProxy> bound_proxies{};
     std::map<std::tuple<bool, double, ProxyId>, UnboundProxy>
         unbound_proxies{};  // in the order in which they are bound
@@ -693,7 +708,7 @@
         // each of them.
         const bool bindings_pending = subsets.size() > 1 && !unbound_proxies.empty();
         if (!bindings_pending || context.now >= oldest_due + context.settings.drain_grace / 4) {
-            send_changes();
+            is_sent_by_group() ? send_by_group() : send_changes();
         }
         if (subsets.size() == 1) {
             bind_waiting_proxies(), complete_partial_bindings();
@@ -714,6 +729,7 @@
     // Fraction of the limit of pending lines that is used. Bindings leave half of that free, and
     // learnt changes also most of the grace.
     static constexpr double kWindowFraction = 0.9, kLearntGraceFraction = 0.15,
+                            kLargeUpdateGraceFraction = 0.45,
                             kOverloadedSuccessFraction = 0.4;  // fraction of successful attempts
     // The fraction of the grace that binding all proxies may take; tables per proxy; servers per
     // subset. Proxies move if loads differ by more than chance; the load of a subset of another
@@ -725,23 +741,278 @@
     static constexpr Duration kMergeInterval = std::chrono::milliseconds(200),
                               kLearntMergeInterval = std::chrono::seconds(1);
 
-    double available_window(int rank) const {  // negative: bindings
+    double max_window(int rank) const {  // negative: bindings
         const double max_lines = kWindowFraction * context.settings.max_pending_lines;
         const double in_grace = kLearntGraceFraction * seconds(context.settings.drain_grace) *
                                 context.settings.channel_lines_per_second;
         const double half =
             subsets.size() > 1 && rank < 0 ? std::min(max_lines / 2, 2 * in_grace) : max_lines / 2;
-        return (rank == 0  ? max_lines
-                : rank < 0 ? half
-                           : std::min(half, in_grace)) -
-               send_window.pending();
+        return rank == 0 ? max_lines : rank < 0 ? half : std::min(half, in_grace);
+    }
+    double available_window(int rank) const { return max_window(rank) - send_window.pending(); }
+    // The first update of a message may be larger while nothing is pending, as it would never be
+    // sent otherwise; it takes at most a part of the grace.
+    double max_large_update() const {
+        return std::min(max_window(0), kLargeUpdateGraceFraction *
+                                           seconds(context.settings.drain_grace) *
+                                           context.settings.channel_lines_per_second);
+    }
+    double available_for_large() const {
+        return send_window.pending() == 0 ? max_large_update() : 0;
+    }
+    bool allows_learnt(double lines) const {
+        return lines <= std::max(learnt_allowance, 0.0) ||
+               learnt_allowance >= context.settings.channel_lines_per_second * 2;
+    }
+
+    // Mechanism 8. Guards against changes that don't fit into the channel for all proxies of a
+    // subset at once: proxies share copies of the tables in groups, and each group is sent a change
+    // by itself. A withdrawal would reach all of them at once, so the server's entries are removed
+    // first.
+    double max_lines_of_update() const { return lines_per_message + sent_admission.size() + 1.0; }
+    std::size_t max_group_size() const {
+        return static_cast<std::size_t>(std::max(1.0, max_window(1) / max_lines_of_update()));
+    }
+    bool any_unsent() const {
+        return std::ranges::any_of(groups, [](const Group& group) {
+            return !group.unsent.empty() || group.unsent_admission;
+        });
+    }
+    bool is_sent_by_group() const {
+        const double max_proxies = max_large_update() / max_lines_of_update();
+        return any_unsent() || std::ranges::any_of(subsets, [&](const Subset& subset) {
+                   return 1.0 * subset.proxies.size() > max_proxies;
+               });
+    }
+    void mark_unsent(std::size_t subset, std::size_t pool, const ServerId& server, int rank) {
+        const auto order_of = [](int r) { return r == 0 ? -2 : r; };
+        for (Group& group : groups) {
+            if (group.subset == subset) {
+                int& its = group.unsent.try_emplace({pool, server}, rank).first->second;
+                its = order_of(rank) < order_of(its) ? rank : its;
+            }
+        }
+    }
+    void set_sent(const ServerId& server, Entry& entry, std::size_t k, double weight, int rank) {
+        entry.sent[k] = weight;
+        mark_unsent(entry.subset, k, server, rank);
+    }
+    std::vector<ProxyId> partial_proxies(int subset) const {  // negative: of all subsets
+        std::vector<ProxyId> proxies;
+        for (const auto& [proxy, its] : bound_proxies) {
+            if (its.partial && (subset < 0 || static_cast<int>(its.subset) == subset)) {
+                proxies.push_back(proxy);
+            }
+        }
+        return proxies;
+    }
+    void send_by_group() {
+        // A pause costs each proxy a message, so it helps only groups that have to be sent more.
+        double urgent_lines = 0;
+        for (const Group& group : groups) {
+            if (group.count(0) > 1.0 * sent_admission.size()) {
+                urgent_lines += group.count(0) * 1.0 * group.proxies.size();
+            }
+        }
+        admission_paused = admission_paused && urgent_lines > 0;
+        if (urgent_lines > 0) {
+            update_admission_pause(urgent_lines);
+        }
+        accept_admission(), accept_changes();
+        send_to_groups(0), send_notices(), send_to_groups(-1), send_to_groups(1);
+    }
+    void accept_admission() {
+        const RealVector fractions = wanted_admission * (admission_paused ? 0.0 : 1.0);
+        const bool no_retries = warming_up || fractions.min() < 1;
+        const int rank = fractions.max() == 0 || sent_admission.max() == 0 ? 0 : 1;
+        const double lines = lines_per_message + 1.0 * fractions.size();
+        const std::vector<ProxyId> partial = partial_proxies(-1);
+        if ((no_retries == sent_no_retries &&
+             std::abs(fractions - sent_admission).max() <= kMinFractionChange) ||
+            lines * 1.0 * partial.size() > available_window(rank)) {
+            return;
+        }
+        sent_admission = fractions, sent_no_retries = no_retries, admission_sent = true;
+        for (Group& group : groups) {
+            group.unsent_admission = group.unsent_admission == 0 ? 0 : rank;
+        }
+        for (const ProxyId proxy : partial) {
+            send_admission(own_table_set(proxy), context.orders);
+            send_window.charge(proxy, lines);
+        }
+    }
+    void accept_changes() {
+        const bool weights_are_sent =
+            std::ranges::all_of(groups, [](const Group& group) { return group.count(1) == 0; });
+        double weights = 0;
+        for (auto change = pending_changes.begin(); change != pending_changes.end();) {
+            const auto& [rank, size, server, pool] = *change;
+            Entry& entry = servers.at(server);
+            const bool is_weight = pool >= 0;
+            const bool is_accepted =
+                is_weight && weights_are_sent && weights < 1.0 * sent_admission.size() + 1;
+            if (is_accepted) {
+                set_sent(server, entry, pool, entry.wanted[pool], 1), ++weights;
+            }
+            for (std::size_t k = 0; !is_weight && k < bindings.size(); ++k) {
+                if (entry.sent[k] > 0) {
+                    set_sent(server, entry, k, 0, entry.wanted.sum() == 0 ? 0 : -1);
+                }
+            }
+            change = is_accepted ? pending_changes.erase(change) : std::next(change);
+        }
+    }
+    void send_notices() {
+        if (context.now < next_notices) {
+            return;
+        }
+        std::vector<int> notified_joins;
+        const auto lines_to_unbound = [&](std::vector<int> joins) {
+            double lines = 0;
+            for (const auto& [position, unbound_proxy] : unbound_proxies) {
+                const auto count = std::ranges::count_if(
+                    joins, [&](int join) { return join < unbound_proxy.join_number; });
+                lines += count > 0 ? lines_per_message + 1.0 * count : 0;
+            }
+            return lines;
+        };
+        double lines_to_partial = 0;
+        std::vector<Change> ready;
+        for (const Change& change : pending_changes) {
+            const auto& [rank, size, server, pool] = change;
+            const Entry& entry = servers.at(server);
+            const bool is_unsent = std::ranges::any_of(groups, [&](const Group& group) {
+                return std::ranges::any_of(
+                    group.unsent, [&](const auto& its) { return its.first.second == server; });
+            });
+            if (pool >= 0 || entry.sent.sum() > 0 || is_unsent) {
+                continue;
+            }
+            const bool repeated = entry.withdrawn && entry.wanted.sum() == 0;
+            std::vector<int> joins = notified_joins;
+            joins.push_back(repeated ? entry.last_notified_join : 0);
+            const double to_partial = 1.0 * partial_proxies(static_cast<int>(entry.subset)).size() *
+                                      (lines_per_message + 1);
+            if (lines_to_unbound(joins) + lines_to_partial + to_partial >
+                available_window(rank == 0 ? 0 : -1)) {
+                break;
+            }
+            notified_joins = joins, lines_to_partial += to_partial, ready.push_back(change);
+        }
+        for (const Change& change : ready) {
+            send_notice(change);
+        }
+        if (ready.empty()) {
+            return;
+        }
+        for (const auto& [position, unbound_proxy] : unbound_proxies) {
+            const auto count = std::ranges::count_if(
+                notified_joins, [&](int join) { return join < unbound_proxy.join_number; });
+            if (count > 0) {
+                send_window.charge(std::get<ProxyId>(position), lines_per_message + 1.0 * count);
+            }
+        }
+        next_notices = context.now + urgent_spacing();
+    }
+    void send_notice(const Change& change) {
+        const auto& [rank, size, server, pool] = change;
+        Entry& entry = servers.at(server);
+        const bool withdraw = entry.wanted.sum() == 0, repeated = entry.withdrawn && withdraw;
+        if (rank == 0) {
+            pending_withdrawals = std::max(0, pending_withdrawals - 1);
+        }
+        context.orders.push_back(order::SetWithdrawn{server, withdraw});
+        for (const ProxyId proxy : partial_proxies(static_cast<int>(entry.subset))) {
+            send_window.charge(proxy, lines_per_message + 1);
+        }
+        entry.withdrawn = withdraw, entry.may_be_withdrawn = true;
+        entry.last_notified_join = last_join;
+        if (!repeated) {
+            entry.withdrawn_at = context.now;
+        }
+        for (std::size_t k = 0; k < bindings.size(); ++k) {
+            if (entry.wanted[k] > 0) {
+                set_sent(server, entry, k, entry.wanted[k], -1);
+            }
+        }
+        std::erase(pending_changes, Change(change));
+    }
+    void send_to_groups(int rank) {
+        for (Group& group : groups) {
+            TimePoint& next = rank == 0 ? group.next_urgent : group.next_other;
+            if (group.count(rank) == 0 || context.now < next) {
+                continue;
+            }
+            const double proxies = 1.0 * group.proxies.size();
+            double lines = 0;
+            const auto fits = [&](double more) {
+                const double all = (lines_per_message + lines + more) * proxies;
+                const double window =
+                    rank == 0 ? available_window(0)
+                              : std::min(available_window(rank),
+                                         max_pending_before_withdrawal() - send_window.pending());
+                return proxies == 0 || (lines == 0 && all <= available_for_large()) ||
+                       (all <= window &&
+                        (rank != 1 ||
+                         allows_learnt((kDesignLinesPerMessage + lines + more) * proxies)));
+            };
+            const double admission_lines = 1.0 * sent_admission.size();
+            if (group.unsent_admission == rank && fits(admission_lines)) {
+                lines += admission_lines, group.unsent_admission.reset();
+                send_admission(group.table_set, context.orders);
+            }
+            for (auto at = group.unsent.begin(); at != group.unsent.end();) {
+                const auto& [pool, server] = at->first;
+                const auto entry = servers.find(server);
+                const bool has_entry =
+                    entry != servers.end() && entry->second.subset == group.subset;
+                const double weight = has_entry ? entry->second.sent[pool] : 0;
+                const double more =
+                    has_entry && entry->second.may_be_withdrawn && weight > 0 ? 2 : 1;
+                if (at->second != rank || !fits(more)) {
+                    ++at;
+                    continue;
+                }
+                lines += more;
+                context.orders.push_back(
+                    order::SetTableEntry{table_of(pool, group.table_set), server, weight});
+                at = group.unsent.erase(at);
+            }
+            if (lines == 0) {
+                continue;
+            }
+            for (const ProxyId proxy : group.proxies) {
+                send_window.charge(proxy, lines_per_message + lines);
+            }
+            if (rank == 1) {
+                learnt_allowance -= (kDesignLinesPerMessage + lines) * proxies;
+            }
+            next = context.now + (rank == 0 ? urgent_spacing() : learnt_spacing());
+        }
+    }
+    double max_pending_before_withdrawal() const {
+        const DeploymentSettings& settings = context.settings;
+        return (seconds(settings.drain_grace) - seconds(settings.max_message_delay)) *
+                   settings.channel_lines_per_second -
+               (lines_per_message + 1) * 1.0 * bound_proxies.size();
+    }
+    // Guards against more withdrawals than the channel carries within the grace, because of many
+    // servers or many proxies: nothing is admitted until they are sent. It costs service meanwhile.
+    void update_admission_pause(double lines_to_send) {
+        const double seconds_to_send =
+            (send_window.pending() + lines_to_send) /
+            (kAssuredPaceFraction * context.settings.channel_lines_per_second);
+        const Duration remaining_grace = oldest_due + context.settings.drain_grace -
+                                         context.settings.max_message_delay - context.now;
+        admission_paused = pending_withdrawals > 0 &&
+                           (admission_paused || seconds_to_send > seconds(remaining_grace));
     }
 
     // Mechanism 7. Guards against a channel that can't carry tables of all servers, or each
     // withdrawal, to all proxies in time: the servers are divided into subsets, and a proxy gets
     // one subset. It could do harm if few servers are left in one; then proxies move to others.
     void assign_subsets() {
-        if (bound_proxies.empty() &&
+        if (bound_proxies.empty() && !any_unsent() &&
             std::ranges::all_of(servers, [](auto& s) { return s.second.sent.sum() == 0; })) {
             double table_size = 0;
             for (const auto& [id, entry] : servers) {
@@ -770,6 +1041,10 @@
             for (int p = 0; zones > 1 && p < std::ssize(subsets); ++p) {
                 subsets[p].zone = {p % int(zones)};
             }
+            groups.clear();
+            for (std::size_t p = 0; p < subsets.size(); ++p) {
+                groups.push_back({p, p});
+            }
             // Withdrawn servers keep their subset number. Without this limit, the number of a
             // subset that no longer exists would cause accesses out of bounds.
             for (auto& [id, entry] : servers) {
@@ -881,6 +1156,9 @@
         if (!at) {
             return;
         }
+        for (Group& group : groups) {
+            group.proxies.erase(proxy);
+        }
         subsets[at.mapped().subset].proxies.erase(proxy),
             subsets[at.mapped().subset].rpcs_per_second -= at.mapped().rpcs_per_second;
         for (std::size_t k = 0; at.mapped().partial && k < bindings.size(); ++k) {
@@ -1068,8 +1346,12 @@
             if (!applies || entry.wanted[k] == entry.sent[k]) {
                 continue;
             }
-            context.orders.push_back(
-                order::SetTableEntry{table_of(k, entry.subset), server, entry.wanted[k]});
+            for (const Group& group : groups) {
+                if (group.subset == entry.subset) {
+                    context.orders.push_back(order::SetTableEntry{table_of(k, group.table_set),
+                                                                  server, entry.wanted[k]});
+                }
+            }
             entry.sent[k] = entry.wanted[k];
         }
         if (pool >= 0) {
@@ -1118,24 +1400,15 @@
             // A reinstatement adds capacity: it may use as much of the window as a binding, and
             // none of the learnt allowance.
             const bool is_reinstatement = rank == 1 && after_join == 0;
+            const double large = !urgent_sent && !learnt_sent ? available_for_large() : 0;
             return lines_to_bound(lines_per_message, extra_lines, subset) + lines_to_unbound <=
-                       available_window(is_reinstatement ? -1 : rank) &&
+                       std::max(large, available_window(is_reinstatement ? -1 : rank)) &&
                    (rank == 0 || is_reinstatement ||
-                    lines_to_bound(kDesignLinesPerMessage, extra_lines, subset) <=
-                        std::max(learnt_allowance, 0.0));
+                    allows_learnt(lines_to_bound(kDesignLinesPerMessage, extra_lines, subset)));
         };
-        // Guards against more withdrawals than the channel carries within the grace, because of
-        // many servers or many proxies: nothing is admitted until they are sent. It costs service
-        // meanwhile.
         const double proxies_per_subset =
             1.0 * bound_proxies.size() / std::max<std::size_t>(subsets.size(), 1);
-        const double seconds_to_send =
-            (send_window.pending() + pending_withdrawals * proxies_per_subset) /
-            (kAssuredPaceFraction * context.settings.channel_lines_per_second);
-        const Duration remaining_grace = oldest_due + context.settings.drain_grace -
-                                         context.settings.max_message_delay - context.now;
-        admission_paused = pending_withdrawals > 0 &&
-                           (admission_paused || seconds_to_send > seconds(remaining_grace));
+        update_admission_pause(pending_withdrawals * proxies_per_subset);
         const RealVector admission_fractions = wanted_admission * (admission_paused ? 0.0 : 1.0);
         const bool no_retries = warming_up || admission_fractions.min() < 1,
                    retries_changed = no_retries != sent_no_retries;
@@ -1148,9 +1421,9 @@
             const RetryPolicy retry_policy = no_retries ? RetryPolicy::never : kRetryPolicy;
             for (std::size_t k = 0; k < bindings.size(); ++k) {
                 for (const MethodId m : bindings[k].methods) {
-                    for (std::size_t p = 0; p < subsets.size(); ++p) {
+                    for (const Group& group : groups) {
                         context.orders.push_back(
-                            order::SetAdmission{table_of(k, p),
+                            order::SetAdmission{table_of(k, group.table_set),
                                                 {m},
                                                 full_admission * admission_fractions[m.value],
                                                 retry_policy});
@@ -1215,8 +1488,7 @@
             }
         }
         if (learnt_sent) {
-            learnt_allowance =
-                std::max(0.0, learnt_allowance - lines_to_bound(kDesignLinesPerMessage, 0, -1));
+            learnt_allowance -= lines_to_bound(kDesignLinesPerMessage, 0, -1);
         }
         if (urgent_sent) {
             next_urgent_round = context.now + urgent_spacing();
@@ -1244,7 +1516,8 @@
     // servers of the subset that are not withdrawn.
     std::pair<double, std::vector<Order>> make_binding(ProxyId proxy, ZoneId zone,
                                                        std::size_t subset, bool partial,
-                                                       bool empty = false) const {
+                                                       bool empty = false,
+                                                       std::size_t table_set = 0) const {
         double lines = 0, tables = 0;
         std::vector<Order> orders;
         if (partial && admission_sent) {
@@ -1254,7 +1527,7 @@
             if (!is_used_in(k, zone)) {
                 continue;
             }
-            const TableId table = table_of(k, partial ? own_table_set(proxy) : subset);
+            const TableId table = table_of(k, partial ? own_table_set(proxy) : table_set);
             std::vector<const std::pair<const ServerId, Entry>*> entries;
             for (const auto& named_entry : servers) {
                 const Entry& entry = named_entry.second;
@@ -1287,11 +1560,37 @@
     }
     double bind(ProxyId proxy, ZoneId zone, double rate, std::size_t subset, double max_cost,
                 bool partial = false, bool displaced = false) {
-        const auto [cost, orders] = make_binding(proxy, zone, subset, partial);
-        const bool has_entries = cost > make_binding(proxy, zone, subset, partial, true).first;
+        // The group's tables may still have entries that the subset's no longer have.
+        const auto group = std::ranges::find_if(groups, [&](const Group& g) {
+            return g.subset == subset && g.proxies.size() < max_group_size();
+        });
+        const bool has_room = group != groups.end();
+        const std::size_t table_set = has_room ? group->table_set
+                                               : subsets.size() + context.settings.proxy_count +
+                                                     groups.size() - subsets.size();
+        const auto [table_lines, orders] =
+            make_binding(proxy, zone, subset, partial, false, table_set);
+        const bool has_entries =
+            table_lines > make_binding(proxy, zone, subset, partial, true).first;
+        const double cost = table_lines + (has_room && !partial ? 1.0 * group->unsent.size() : 0);
         if (!has_entries || cost > max_cost) {
             return 0;
         }
+        const std::size_t group_index = group - groups.begin();
+        if (!partial && !has_room) {
+            groups.push_back({subset, table_set});
+            for (std::size_t k = 0; k < bindings.size(); ++k) {
+                for (const auto& [server, entry] : servers) {
+                    if (entry.subset == subset && entry.sent[k] > 0) {
+                        context.orders.push_back(
+                            order::SetTableEntry{table_of(k, table_set), server, entry.sent[k]});
+                    }
+                }
+            }
+            if (admission_sent) {
+                send_admission(table_set, context.orders);
+            }
+        }
         context.orders.insert(context.orders.end(), orders.begin(), orders.end());
         const auto before = bound_proxies.find(proxy);
         std::vector<TimePoint> times =
@@ -1302,6 +1601,8 @@
         subsets[subset].proxies.insert(proxy), subsets[subset].rpcs_per_second += rate;
         if (partial) {
             partially_bound.push_back(proxy);
+        } else {
+            groups[group_index].proxies.insert(proxy);
         }
         return cost;
     }
--- a/tests/routing_tables_test.cpp
+++ b/tests/routing_tables_test.cpp
@@ -169,7 +169,7 @@
     RoutingTables tables;
     tables.add_pool(pool_of(1));
     ProxySubsets subsets{tables};
-    subsets.create_subsets(2, 2);
+    subsets.create_subsets(2, 2, 10);
     CHECK(subsets[0].zone == kFirstZone);
     CHECK(subsets[1].is_remote_to(kFirstZone));
     const ProxyId proxy{7};
@@ -190,7 +190,7 @@
     RoutingTables tables;
     tables.add_pool(pool_of(1));
     ProxySubsets subsets{tables};
-    subsets.create_subsets(2, 1);
+    subsets.create_subsets(2, 1, 10);
     tables.find_or_add(kOtherServer).subset = 1;
     send_weight(tables, kServer, 0, 0.75);
     RoutingEntry& other = send_weight(tables, kOtherServer, 0, 0.25);
