Where all servers of a pool are cold, proxies admit what those in use bear

The first to be reinstated gets all requests of the method that stays in the zone: 51 within 1.5 s where 42.3 are allowed, 1.0 s after its start. Cause: slow start's limits fall away where no server of a pool is without one, and reinstatements are sent in several messages a second apart, so that the first server is the whole pool meanwhile; admission stays at 1. By the record and the log: all requests are of the local method, all from proxies that know of the start, and one server was reinstated alone. With all five in one message the budget is kept, so the spacing belongs to the cause. Change: WeightOptimizer posts PoolCapacity, what a pool's servers certainly handle at their age while all are cold. pool_admission makes of it and of the servers in use the fraction to admit, by pool; no server is put into use before that is sent. Cold servers beside warm ones on probation no longer get a full share. The log line on admission has the lowest amount of a method over its pools. The reference planner alike.

--- a/src/decision/admission_controller.cpp
+++ b/src/decision/admission_controller.cpp
@@ -77,18 +77,18 @@
 void AdmissionController::on(const event::ProxyJoined& message) {
     on(event::ProxyLeft{message.proxy});
     const double rate = std::max(message.rpcs_per_second, kMinAnnouncedRate);
-    announced_rates_[message.proxy] = rate;
+    announcements_[message.proxy] = {message.zone, rate};
     announced_rate_ += rate;
 }
 
 void AdmissionController::on(const event::ProxyLeft& message) {
     update_announced_requests();
-    const auto found = announced_rates_.find(message.proxy);
-    if (found == announced_rates_.end()) {
+    const auto found = announcements_.find(message.proxy);
+    if (found == announcements_.end()) {
         return;
     }
-    announced_rate_ -= found->second;
-    announced_rates_.erase(found);
+    announced_rate_ -= found->second.rpcs_per_second;
+    announcements_.erase(found);
 }
 
 void AdmissionController::on(const event::DemandReport& message) {
@@ -112,14 +112,14 @@
 
     // Assumes that proxies of other planners, or without a planner, announce as much on average as
     // those that have joined here.
-    const double joined = std::max(1.0, static_cast<double>(announced_rates_.size()));
+    const double joined = std::max(1.0, static_cast<double>(announcements_.size()));
     const double all_announced =
         announced_rate_ * std::max(1.0, context_.settings.proxy_count / joined);
     const double average_announced =
         std::max(announced_requests_ / window_seconds_, announced_rate_ / kMaxEvidenceScale);
     optimizer_.mailbox.post(DemandEstimate{requests_ * admitted_by_method_,
                                            std::max(1.0, all_announced / average_announced),
-                                           all_announced});
+                                           all_announced, announced_zone_fractions()});
     // The trackers have already posted the evidence of this window to the optimizer.
     optimizer_.mailbox.post(OptimizerStep{});
 
@@ -128,6 +128,19 @@
     requests_ *= kEvidenceRetention;
 }
 
+std::map<ZoneId, double> AdmissionController::announced_zone_fractions() const {
+    std::map<ZoneId, double> fractions;
+    double sum = 0;
+    for (const auto& [proxy, announcement] : announcements_) {
+        fractions[announcement.zone] += announcement.rpcs_per_second;
+        sum += announcement.rpcs_per_second;
+    }
+    for (auto& [zone, fraction] : fractions) {
+        fraction /= sum;
+    }
+    return fractions;
+}
+
 void AdmissionController::on(const Tick&) {
     if (!is_evaluation_due()) {
         return;
--- a/src/decision/admission_controller.hpp
+++ b/src/decision/admission_controller.hpp
@@ -51,6 +51,11 @@
         mailbox;
 
  private:
+    /// What a proxy announced when it joined.
+    struct Announcement {
+        ZoneId zone;
+        double rpcs_per_second = 0;
+    };
     struct LatencySample {
         double seconds = 0;
         double attempts = 0;  ///< number of attempts with this latency
@@ -67,6 +72,7 @@
     };
 
     void update_announced_requests();
+    [[nodiscard]] std::map<ZoneId, double> announced_zone_fractions() const;
     [[nodiscard]] double demand_ratio();
     [[nodiscard]] bool is_evaluation_due() const;
     void sample_failures();
@@ -87,9 +93,9 @@
     double announced_requests_ = 0;  // integral of announced_rate_ over time
     double window_seconds_ = 0;      // time over which both were counted
     int windows_closed_ = 0;
-    std::map<ProxyId, double> announced_rates_;  // RPCs per second, of the joined proxies
-    double announced_rate_ = 0;                  // their sum
-    TimePoint announced_until_;                  // announced_requests_ is integrated up to here
+    std::map<ProxyId, Announcement> announcements_;  // of the joined proxies
+    double announced_rate_ = 0;                      // their sum, RPCs per second
+    TimePoint announced_until_;                      // announced_requests_ is integrated up to here
 
     // Admission. Both fractions refer to the demand at the time when all RPCs were last admitted.
     // Clients retry rejected RPCs, so a fraction of the current demand would grow with rejections.
--- a/src/decision/admission_updates.hpp
+++ b/src/decision/admission_updates.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -12,7 +13,8 @@
 
 /// Admitted fractions and retry policy, as wanted or as sent.
 struct AdmissionSetting {
-    RealVector fractions;  ///< of its RPCs, by method; 0 to 1
+    RealVector fractions;       ///< of its RPCs, by method; 0 to 1
+    RealVector pool_fractions;  ///< the same by pool; both apply; a missing one is 1
     RetryPolicy retry_policy = RetryPolicy::never;
 };
 
@@ -28,9 +30,13 @@
     [[nodiscard]] AdmissionSetting next_setting(bool paused) const;
     /// Whether the setting differs enough from the one that was sent last to be sent.
     [[nodiscard]] bool is_significant(const AdmissionSetting& setting) const;
-    /// Urgent if admission as a whole starts or stops.
+    /// Urgent if admission as a whole starts or stops, or less of a pool is admitted.
     [[nodiscard]] ChangeRank rank_of(const AdmissionSetting& setting) const;
 
+    /// Whether what was sent last allows the endpoint's pending change: while all endpoints of a
+    /// pool warm up, none is put into use before admission is low enough.
+    [[nodiscard]] bool allows(const RoutingEntry& entry, std::optional<std::size_t> pool) const;
+
     void set_sent(const AdmissionSetting& setting);
     [[nodiscard]] bool any_sent() const { return any_sent_; }
 
@@ -40,6 +46,11 @@
                           std::vector<Order>& orders) const;
 
  private:
+    [[nodiscard]] bool lowers_pool_fraction(const AdmissionSetting& setting) const;
+    [[nodiscard]] double sent_pool_fraction(std::size_t pool) const {
+        return pool < sent_.pool_fractions.size() ? sent_.pool_fractions[pool] : 1;
+    }
+
     /// A retry requires proof that the first server did not execute the RPC, so that no RPC takes
     /// effect twice, whatever the method.
     static constexpr RetryPolicy kRetryPolicy = RetryPolicy::once_if_not_executed;
--- a/src/decision/group_sender.cpp
+++ b/src/decision/group_sender.cpp
@@ -65,7 +65,8 @@
          change = state_.tables.next_change(*change)) {
         RoutingEntry& entry = state_.tables.entry_of(*change);
         if (change->pool) {
-            if (weights_are_sent && weights < max_weights) {
+            if (weights_are_sent && weights < max_weights &&
+                admission_.allows(entry, change->pool)) {
                 accept_weight(*change, entry);
                 ++weights;
             }
@@ -125,6 +126,9 @@
                              lines_to_partial + to_partial;
         const WindowUse use =
             change->rank == ChangeRank::urgent ? WindowUse::urgent : WindowUse::binding;
+        if (!admission_.allows(entry, std::nullopt)) {
+            continue;
+        }
         if (lines > state_.available_window(use)) {
             break;
         }
@@ -192,7 +196,10 @@
 void GroupSender::send_to_group(ProxyGroup& group, WindowUse use) {
     TimePoint& next_message =
         use == WindowUse::urgent ? group.next_urgent_message : group.next_other_message;
-    if (group.count_unsent(use) == 0 || state_.context.now < next_message) {
+    // Lower admission precedes what needs it.
+    const bool admission_first =
+        use != WindowUse::urgent && group.unsent_admission == WindowUse::urgent;
+    if (group.count_unsent(use) == 0 || state_.context.now < next_message || admission_first) {
         return;
     }
     double lines = 0;
--- a/src/decision/messages.hpp
+++ b/src/decision/messages.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -70,6 +72,15 @@
     bool last = false;    ///< the server is gone; no later message names it
 };
 
+/// How much of a pool's traffic its endpoints certainly handle, if all of them are in use. Sent
+/// when it changes, before WeightsPublished.
+struct PoolCapacity {
+    std::size_t pool = 0;
+    /// Relative to the pool's traffic, so it may exceed 1; infinite if an endpoint is warm or no
+    /// load is known.
+    double fraction = std::numeric_limits<double>::infinity();
+};
+
 /// Sent after the DesiredWeights of all servers that the weight optimizer publishes at one time.
 struct WeightsPublished {
     bool any_cold = false;    ///< an open server is still warming up
@@ -100,6 +111,9 @@
     double total_to_own_load = 1;
     /// RPCs per second that all proxies are assumed to have announced.
     double announced_rate = 0;
+    /// The fraction of that which the proxies of a zone announced; zones without proxies are left
+    /// out.
+    std::map<ZoneId, double> zone_fractions;
 };
 
 /// The fraction of its RPCs that each method admits.
--- a/src/decision/routing_entry.hpp
+++ b/src/decision/routing_entry.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -102,6 +103,8 @@
 struct TablePool {
     PoolBinding binding;
     std::map<const ServerId*, TableEntry, ByServer> entries;
+    /// As PoolCapacity::fraction.
+    double capacity_fraction = std::numeric_limits<double>::infinity();
     double sent_in_use = 0;             ///< sum of the sent weights of endpoints that stay in use
     std::vector<double> binding_lines;  ///< lines that a binding sends of the pool, by subset
 
--- a/src/decision/slow_start.cpp
+++ b/src/decision/slow_start.cpp
@@ -44,7 +44,6 @@
 }
 
 double SlowStart::share_limit(const PoolMember& member, double listed_share) const {
-    const DeploymentSettings& settings = context_.settings;
     const double probation_limit = member.on_probation ? kProbationFraction * listed_share : 1;
     const double age = warm_up_fraction(member);
     if (age >= 1) {
@@ -53,21 +52,34 @@
     if (age < (load_known() ? kIdleWarmUpFraction : kIdleWarmUpFractionWithoutLoad)) {
         return 0;
     }
-    const double capacity_fraction =
-        settings.cold_capacity_fraction + (1 - settings.cold_capacity_fraction) * age;
     if (!load_known()) {
-        return std::min(probation_limit, capacity_fraction * listed_share);
+        return std::min(probation_limit, capacity_fraction(age) * listed_share);
     }
-    // All RPC counts are within the window after which an overloaded endpoint fails. The largest
-    // allowed expectation x has x + kOverloadMarginDeviations sqrt(x) at the overload limit, a
-    // quadratic equation for sqrt(x).
+    const double overload_window = seconds(context_.settings.overload_window);
+    return std::min(probation_limit, certain_rpcs(member) / (total_rate_ * overload_window));
+}
+
+double SlowStart::certain_rate(const PoolMember& member) const {
+    return certain_rpcs(member) / seconds(context_.settings.overload_window);
+}
+
+// All RPC counts are within the window after which an overloaded endpoint fails. The largest
+// allowed expectation x has x + kOverloadMarginDeviations sqrt(x) at the overload limit, a
+// quadratic equation for sqrt(x).
+double SlowStart::certain_rpcs(const PoolMember& member) const {
+    const DeploymentSettings& settings = context_.settings;
+    const double fraction = capacity_fraction(warm_up_fraction(member));
     const double overload_window = seconds(settings.overload_window);
     const double warm_rpcs = warm_rate_per_size_ * member.status.listed.size * overload_window;
     const double half = kOverloadMarginDeviations / 2;
     const double root =
-        std::sqrt(half * half + settings.overload_factor * capacity_fraction * warm_rpcs) - half;
-    const double allowed_rpcs = std::min(capacity_fraction * warm_rpcs, root * root);
-    return std::min(probation_limit, allowed_rpcs / (total_rate_ * overload_window));
+        std::sqrt(half * half + settings.overload_factor * fraction * warm_rpcs) - half;
+    return std::min(fraction * warm_rpcs, root * root);
+}
+
+double SlowStart::capacity_fraction(double warm_up_fraction) const {
+    const double cold_fraction = context_.settings.cold_capacity_fraction;
+    return cold_fraction + (1 - cold_fraction) * warm_up_fraction;
 }
 
 RealVector SlowStart::share_limits(const PoolSnapshot& pool) const {
@@ -75,6 +87,13 @@
     for (std::size_t i = 0; i < pool.places.size(); ++i) {
         limits[i] = share_limit(*pool.places[i]->member, pool.sizes[i] / pool.size_sum);
     }
+    const bool all_limited = RealVector(limits[pool.sizes > 0.0]).size() > 0 &&
+                             RealVector(limits[pool.sizes > 0.0]).max() < 1;
+    for (std::size_t i = 0; all_limited && i < limits.size(); ++i) {
+        if (warm_up_fraction(*pool.places[i]->member) >= 1) {
+            limits[i] = 1;
+        }
+    }
     return limits;
 }
 
--- a/src/decision/slow_start.hpp
+++ b/src/decision/slow_start.hpp
@@ -38,10 +38,22 @@
     /// member's size as a fraction of the pool's total size.
     [[nodiscard]] double share_limit(const PoolMember& member, double listed_share) const;
 
-    /// `share_limit` for each endpoint of the pool.
+    /// `share_limit` for each endpoint of the pool. If no endpoint is without a limit, probation
+    /// limits none that is warm, as all that exceeds the limits would go to cold ones.
     [[nodiscard]] RealVector share_limits(const PoolSnapshot& pool) const;
 
+    /// RPCs per second of all proxies that a cold endpoint certainly handles at its age. Only if
+    /// load_known().
+    [[nodiscard]] double certain_rate(const PoolMember& member) const;
+    /// Measured attempts per second from all proxies.
+    [[nodiscard]] double total_rate() const { return total_rate_; }
+
  private:
+    /// RPCs within the overload window, from all proxies.
+    [[nodiscard]] double certain_rpcs(const PoolMember& member) const;
+    /// Fraction of the warm capacity at this warm-up fraction, which is below 1.
+    [[nodiscard]] double capacity_fraction(double warm_up_fraction) const;
+
     const DecisionContext& context_;
     double total_rate_ = 0;       // attempts per second from all proxies
     double recent_max_size_ = 0;  // decaying maximum of `open_size`
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -42,6 +42,10 @@
     entry.zone = desired.zone;
 }
 
+void UpdateScheduler::on(const PoolCapacity& capacity) {
+    state_.tables.pools()[capacity.pool].capacity_fraction = capacity.fraction;
+}
+
 void UpdateScheduler::on(const WeightsPublished& published) {
     state_.any_warming_up = published.any_cold;
     if (published.any_server) {
--- a/src/decision/update_scheduler.hpp
+++ b/src/decision/update_scheduler.hpp
@@ -33,6 +33,7 @@
     void on(const PoolBinding& binding);
     void on(const AdmissionFractions& fractions);
     void on(const DesiredWeights& desired);
+    void on(const PoolCapacity& capacity);
     void on(const WeightsPublished& published);
     void on(const OwnershipTransfer& transfer);
     void on(const event::ProxyJoined& joined);
@@ -42,9 +43,9 @@
     /// Plans, binds proxies and sends what the window allows.
     void on(const Tick& tick);
 
-    Mailbox<RenewSubscription, PoolBinding, AdmissionFractions, WeightsPublished, OwnershipTransfer,
-            event::ProxyJoined, event::ProxyLeft, event::Acknowledgement, DesiredWeights,
-            event::EndpointLoadReport, Tick>
+    Mailbox<RenewSubscription, PoolBinding, AdmissionFractions, PoolCapacity, WeightsPublished,
+            OwnershipTransfer, event::ProxyJoined, event::ProxyLeft, event::Acknowledgement,
+            DesiredWeights, event::EndpointLoadReport, Tick>
         mailbox;
 
  private:
--- a/src/decision/update_sender.cpp
+++ b/src/decision/update_sender.cpp
@@ -78,19 +78,25 @@
 }
 
 void UpdateSender::send_table_changes(Round& round) {
-    while (state_.tables.has_pending_changes()) {
-        const PendingChange change = state_.tables.first_change();
-        RoutingEntry& entry = state_.tables.entry_of(change);
-        const Cost cost = cost_of(change, entry);
+    if (!state_.tables.has_pending_changes()) {
+        return;
+    }
+    for (std::optional<PendingChange> change = state_.tables.first_change(); change;
+         change = state_.tables.next_change(*change)) {
+        RoutingEntry& entry = state_.tables.entry_of(*change);
+        if (!admission_.allows(entry, change->pool)) {
+            continue;
+        }
+        const Cost cost = cost_of(*change, entry);
         if (!fits(round, cost)) {
             return;
         }
         round.add(cost);
-        if (change.rank == ChangeRank::urgent) {
+        if (change->rank == ChangeRank::urgent) {
             state_.withdrawals.count = std::max(0, state_.withdrawals.count - 1);
         }
-        state_.tables.take_first_change();
-        apply(entry, change.pool);
+        state_.tables.take_change(*change);
+        apply(entry, change->pool);
     }
 }
 
--- a/src/decision/weight_optimizer.cpp
+++ b/src/decision/weight_optimizer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -151,7 +152,9 @@
     const bool any_cold = memberships_.refresh_warming(slow_start_);
     for (const std::size_t pool_index : memberships_.take_stale_pools()) {
         const PoolSnapshot snapshot = limited_snapshot(pool_index, SnapshotScope::open_endpoints);
-        memberships_.set_shares(snapshot, capped_softmax(snapshot, snapshot.weights));
+        const RealVector shares = capped_softmax(snapshot, snapshot.weights);
+        memberships_.set_shares(snapshot, shares);
+        publish_capacity(pool_index, snapshot, shares);
     }
     const WeightsPublished published{any_cold, !memberships_.empty()};
     for (PoolMember* const member : memberships_.take_publish_queue()) {
@@ -161,4 +164,46 @@
     scheduler_.mailbox.post(published);
 }
 
+void WeightOptimizer::publish_capacity(std::size_t pool_index, const PoolSnapshot& snapshot,
+                                       const RealVector& shares) {
+    constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+    const double fraction = capacity_fraction(memberships_.pools()[pool_index], snapshot, shares);
+    double& published = capacity_fractions_.try_emplace(pool_index, kNoLimit).first->second;
+    if (std::exchange(published, fraction) != fraction) {
+        scheduler_.mailbox.post(PoolCapacity{pool_index, fraction});
+    }
+    if (fraction == kNoLimit) {
+        capacity_fractions_.erase(pool_index);
+    }
+}
+
+/// What the endpoints of the pool certainly handle, relative to its traffic. Limited only while all
+/// of them are cold: where one is warm, it takes what exceeds the limits of the others.
+double WeightOptimizer::capacity_fraction(const Pool& pool, const PoolSnapshot& snapshot,
+                                          const RealVector& shares) const {
+    double fraction = std::numeric_limits<double>::infinity();
+    if (!slow_start_.load_known()) {
+        return fraction;
+    }
+    double rate =
+        std::max(slow_start_.total_rate(), demand_.announced_rate) * pool.traffic_fraction;
+    if (pool.binding.zone) {
+        const auto of_zone = demand_.zone_fractions.find(*pool.binding.zone);
+        rate *= of_zone == demand_.zone_fractions.end() ? 0 : of_zone->second;
+    }
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        const PoolMember& member = *snapshot.places[i]->member;
+        if (snapshot.sizes[i] == 0) {
+            continue;
+        }
+        if (slow_start_.warm_up_fraction(member) >= 1) {
+            return std::numeric_limits<double>::infinity();
+        }
+        if (shares[i] * rate > 0) {
+            fraction = std::min(fraction, slow_start_.certain_rate(member) / (shares[i] * rate));
+        }
+    }
+    return fraction;
+}
+
 }  // namespace micaroad::decision
--- a/src/decision/weight_optimizer.hpp
+++ b/src/decision/weight_optimizer.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <vector>
 
 #include "decision/decision_context.hpp"
@@ -39,6 +40,10 @@
     [[nodiscard]] StepInput collect_input(const EndpointEstimates& estimates, double load_factor);
     [[nodiscard]] PoolSnapshot limited_snapshot(std::size_t pool_index, SnapshotScope scope);
     void publish();
+    void publish_capacity(std::size_t pool_index, const PoolSnapshot& snapshot,
+                          const RealVector& shares);
+    [[nodiscard]] double capacity_fraction(const Pool& pool, const PoolSnapshot& snapshot,
+                                           const RealVector& shares) const;
 
     DecisionContext& context_;
     UpdateScheduler& scheduler_;
@@ -46,7 +51,8 @@
     EvidenceEstimator evidence_{context_.settings};
     SlowStart slow_start_{context_};
     DemandEstimate demand_{};
-    bool publish_due_ = false;  // publish at the next tick
+    std::map<std::size_t, double> capacity_fractions_;  // as published, where not infinite
+    bool publish_due_ = false;                          // publish at the next tick
 };
 
 }  // namespace micaroad::decision
--- a/src/planner/core.cpp
+++ b/src/planner/core.cpp
@@ -48,6 +48,7 @@
     for (const Order& order : orders) {
         execute(order);
     }
+    log_admissions();
     const std::vector<ProxyUpdate> updates = update_builder_.build_updates(orders);
     const std::size_t suppressed = update_builder_.take_suppressed_orders();
     if (suppressed > 0) {
@@ -233,10 +234,18 @@
 
 void Core::execute(const order::SetAdmission& order) {
     for (const MethodId method : order.methods) {
+        double& lowest = ordered_admissions_.try_emplace(method, order.amount).first->second;
+        lowest = std::min(lowest, order.amount);
+    }
+}
+
+// Logs only changes.
+void Core::log_admissions() {
+    for (const auto& [method, amount] : std::exchange(ordered_admissions_, {})) {
         double& last = admissions_.try_emplace(method, 1).first->second;
-        if (std::exchange(last, order.amount) != order.amount) {
+        if (std::exchange(last, amount) != amount) {
             log_.info("core: admission changed method={} amount={:.2f}", names_.method(method),
-                      order.amount);
+                      amount);
         }
     }
 }
--- a/src/planner/core.hpp
+++ b/src/planner/core.hpp
@@ -70,6 +70,7 @@
     void pass_to_planner(Event event);
     void expire_timers();
     void remove_proxy(ProxyId proxy, StreamId stream);
+    void log_admissions();
     void send(const ProxyUpdate& update);
     void warn_of_unsupported(const Order& order);
 
@@ -85,7 +86,9 @@
     std::map<StreamId, ProxyId> proxies_;
     std::set<ServerId> health_checks_;  // in progress
     std::multimap<TimePoint, TimerId> timers_;
-    std::map<MethodId, double> admissions_;          // last ordered amounts, to log only changes
+    // The lowest amount of each method over all tables, as last ordered, and in this decision.
+    std::map<MethodId, double> admissions_;
+    std::map<MethodId, double> ordered_admissions_;
     std::set<std::size_t> unsupported_order_kinds_;  // already warned about, by index in Order
     bool stopping_ = false;
     TimePoint now_;
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -5,6 +5,7 @@
 /// The planner in its simple form, without bookkeeping by pool and by change: every turn iterates
 /// over all servers and all pools. Make a change of a decision here and in src/, and a change for
 /// speed only in src/.
+#include <limits>
 #include <map>
 #include <random>
 #include <ranges>
@@ -348,21 +349,58 @@
         if (age >= 1 || age < (usual_rate_per_size == 0 ? 0.5 : 0.25)) {
             return age >= 1 ? max_share : 0;
         }
-        const double capacity_fraction =
-            settings.cold_capacity_fraction + (1 - settings.cold_capacity_fraction) * age;
         if (usual_rate_per_size == 0) {
-            return std::min(max_share, capacity_fraction * listed_share);
+            return std::min(max_share, capacity_fraction(age) * listed_share);
         }
-        // Of the RPCs x within the overload window, x + kOverloadMarginDeviations * sqrt(x) must
-        // stay below the overload limit.
+        return std::min(max_share,
+                        certain_rpcs(member) / (total_rate * seconds(settings.overload_window)));
+    }
+    double capacity_fraction(double age) const {
+        const double cold = context.settings.cold_capacity_fraction;
+        return cold + (1 - cold) * age;
+    }
+    // Of the RPCs x within the overload window, x + kOverloadMarginDeviations * sqrt(x) must stay
+    // below the overload limit.
+    double certain_rpcs(const Member& member) const {
+        const DeploymentSettings& settings = context.settings;
+        const double fraction = capacity_fraction(warm_up_fraction(member));
         const double warm_rpcs = usual_rate_per_size * member.status.entry.size *
                                  seconds(settings.overload_window),
                      half_deviations = kOverloadMarginDeviations / 2;
         const double root = std::sqrt(half_deviations * half_deviations +
-                                      settings.overload_factor * capacity_fraction * warm_rpcs) -
+                                      settings.overload_factor * fraction * warm_rpcs) -
                             half_deviations;
-        return std::min(max_share, std::min(capacity_fraction * warm_rpcs, root * root) /
-                                       (total_rate * seconds(settings.overload_window)));
+        return std::min(fraction * warm_rpcs, root * root);
+    }
+    // Mechanism 9. Guards against a pool whose servers are all cold: there is none without a limit,
+    // so that the limits can't hold, and the proxies have to admit fewer RPCs.
+    double pool_capacity(std::size_t k, const Members& open, const RealVector& share) const {
+        constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+        if (usual_rate_per_size == 0) {
+            return kNoLimit;
+        }
+        const Pool& pool = pools[k];
+        double rate = std::max(total_rate, demand.announced_rate) * pool.traffic_fraction;
+        if (pool.binding.zone) {
+            const auto of_zone = demand.zone_fractions.find(*pool.binding.zone);
+            rate *= of_zone == demand.zone_fractions.end() ? 0 : of_zone->second;
+        }
+        const RealVector size = sizes(k, open);
+        double fraction = kNoLimit;
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            if (size[i] == 0) {
+                continue;
+            }
+            if (warm_up_fraction(*open[i]) >= 1) {
+                return kNoLimit;
+            }
+            if (share[i] * rate > 0) {
+                fraction = std::min(fraction, certain_rpcs(*open[i]) /
+                                                  seconds(context.settings.overload_window) /
+                                                  (share[i] * rate));
+            }
+        }
+        return fraction;
     }
 
     RealVector sizes(std::size_t k, const Members& open) const {
@@ -389,8 +427,19 @@
             RealVector share = std::exp(weight - RealVector(weight[size > 0.0]).max());
             share[size == 0.0] = 0, share /= share.sum();
             RealVector limited = share, unlimited = share;
+            std::vector<double> max_shares;
+            for (std::size_t i = 0; i < open.size(); ++i) {
+                max_shares.push_back(share_limit(*open[i], size[i] / size.sum()));
+            }
+            // If all have a limit, probation limits no warm server: the cold ones would get what
+            // exceeds the limits.
+            bool all_limited = true;
             for (std::size_t i = 0; i < open.size(); ++i) {
-                const double max_share = share_limit(*open[i], size[i] / size.sum());
+                all_limited = all_limited && (size[i] == 0 || max_shares[i] < 1);
+            }
+            for (std::size_t i = 0; i < open.size(); ++i) {
+                const bool lifted = all_limited && warm_up_fraction(*open[i]) >= 1;
+                const double max_share = lifted ? 1 : max_shares[i];
                 (max_share < 1 ? unlimited : limited)[i] = 0;
                 limited[i] = std::min(limited[i], max_share);
             }
@@ -410,11 +459,14 @@
         for (auto& [id, member] : members) {
             member.share = 0;
         }
+        PoolCapacities capacities;
         for (std::size_t k = 0; k < pools.size(); ++k) {
             for (std::size_t i = 0; i < open.size(); ++i) {
                 open[i]->share[k] = share[k][i];
             }
+            capacities.fractions.push_back(pool_capacity(k, open, share[k]));
         }
+        scheduler.mailbox.push_back(capacities);
         for (const auto& [id, m] : members) {
             scheduler.mailbox.push_back(DesiredWeights{m.status, m.share, warm_up_fraction(m) < 1});
         }
@@ -444,7 +496,7 @@
            last_latency = kFailureLatency;
     bool all_admitted = true;
     int windows_closed = 0;
-    std::map<ProxyId, double> announced_rates{};
+    std::map<ProxyId, std::pair<ZoneId, double>> announced_rates{};
     TimePoint next_reduction{}, last_evaluation{}, announced_until{};
     std::vector<std::pair<double, double>>
         latency_samples{};  // latencies and attempts since the last evaluation
@@ -452,12 +504,25 @@
         outcomes{};  // successes and failures, by the zones of proxy and server
 
     void on(const event::ProxyJoined& message) {
-        on(event::ProxyLeft{message.proxy}), announced_rate += announced_rates[message.proxy] =
-                                                 std::max(message.rpcs_per_second, 1e-3);
+        on(event::ProxyLeft{message.proxy});
+        const double rate = std::max(message.rpcs_per_second, 1e-3);
+        announced_rates[message.proxy] = {message.zone, rate}, announced_rate += rate;
     }
     void on(const event::ProxyLeft& message) {
-        update_announced_requests(), announced_rate -= announced_rates[message.proxy],
-            announced_rates.erase(message.proxy);
+        update_announced_requests();
+        announced_rate -= announced_rates[message.proxy].second;
+        announced_rates.erase(message.proxy);
+    }
+    std::map<ZoneId, double> zone_fractions() const {
+        std::map<ZoneId, double> fractions;
+        double sum = 0;
+        for (const auto& [proxy, announced] : announced_rates) {
+            fractions[announced.first] += announced.second, sum += announced.second;
+        }
+        for (auto& [zone, fraction] : fractions) {
+            fraction /= sum;
+        }
+        return fractions;
     }
     void update_announced_requests() {
         announced_requests +=
@@ -482,8 +547,9 @@
         const double observed_rate =
             std::max(announced_requests / window_seconds,
                      announced_rate / 4);  // at most a fourfold extrapolation
-        optimizer.mailbox.push_back(DemandEstimate{
-            requests * admitted_by_method, std::max(1.0, total_rate / observed_rate), total_rate});
+        optimizer.mailbox.push_back(DemandEstimate{requests * admitted_by_method,
+                                                   std::max(1.0, total_rate / observed_rate),
+                                                   total_rate, zone_fractions()});
         optimizer.mailbox.push_back(
             OptimizerStep{});  // after the trackers' statuses of this window
         announced_requests *= kEvidenceRetention, window_seconds *= kEvidenceRetention,
@@ -586,7 +652,7 @@
     // admission level is reduced or a server is cold.
     static constexpr RetryPolicy kRetryPolicy = RetryPolicy::once_if_not_executed;
     struct Entry {
-        RealVector wanted, sent;  // shares by pool
+        RealVector wanted, sent, published;  // shares by pool
         bool withdrawn = false, may_be_withdrawn = false,
              warming_up = false;     // may_be_withdrawn: at a proxy that joins
         int last_notified_join = 0;  // the last join among the proxies that know of the withdrawal
@@ -634,6 +700,8 @@
          admission_paused = false, sent_no_retries = false;
     RealVector wanted_admission = RealVector(1.0, context.settings.methods.size());
     // If this is not the proxies' default retry policy, the first admission level carries it.
+    std::vector<double> pool_capacities{};  // by pool; may be missing
+    RealVector sent_pool_admission{};       // the same; a missing one is 1
     RealVector sent_admission =
         RealVector(context.settings.default_retry_policy == kRetryPolicy ? 1.0 : 0.0,
                    context.settings.methods.size());
@@ -654,6 +722,7 @@
     void on(const RenewSubscription&) { context.orders.push_back(order::Subscribe{}); }
     void on(const PoolBinding& message) { bindings.push_back(message); }
     void on(const AdmissionFractions& message) { wanted_admission = message.by_method; }
+    void on(const PoolCapacities& message) { pool_capacities = message.fractions; }
     void on(const WarmUpState& message) { warming_up = message.any_warming_up; }
     void on(const OwnershipTransfer& message) { transfers.push_back(message); }
     void on(const event::ProxyJoined& message) {
@@ -676,7 +745,8 @@
         if (entry.sent.size() == 0) {
             entry.sent = 0 * message.shares;
         }
-        entry.wanted = message.shares, entry.updated_at = context.now, weights_changed = true;
+        entry.wanted = entry.published = message.shares, entry.updated_at = context.now,
+        weights_changed = true;
         entry.zone = message.status.entry.zone, entry.may_be_withdrawn |= !message.status.steady,
         entry.warming_up = message.warming_up;
     }
@@ -765,6 +835,92 @@
                learnt_allowance >= context.settings.channel_lines_per_second * 2;
     }
 
+    // Mechanism 9, the rest: the admitted fraction grows with the servers that are in use, and none
+    // is put into use before admission is low enough.
+    double pool_capacity(std::size_t k) const {
+        return k < pool_capacities.size() ? pool_capacities[k]
+                                          : std::numeric_limits<double>::infinity();
+    }
+    double sent_pool(std::size_t k) const {
+        return k < sent_pool_admission.size() ? sent_pool_admission[k] : 1;
+    }
+    bool is_in_use(const ServerId& server, const Entry& entry, std::size_t k) const {
+        const bool is_unsent = std::ranges::any_of(groups, [&](const Group& group) {
+            return std::ranges::any_of(group.unsent,
+                                       [&](const auto& its) { return its.first.second == server; });
+        });
+        return entry.sent[k] > 0 && !entry.withdrawn && !is_unsent;
+    }
+    // The published shares of a subset's servers, of all and of those in use.
+    std::pair<double, double> shares_of(std::size_t subset, std::size_t k) const {
+        double all = 0, in_use = 0;
+        for (const auto& [server, entry] : servers) {
+            if (entry.subset == subset) {
+                all += entry.published[k];
+                in_use += is_in_use(server, entry, k) ? entry.published[k] : 0;
+            }
+        }
+        return {all, in_use};
+    }
+    RealVector wanted_pool_admission() const {
+        RealVector fractions(1.0, bindings.size());
+        for (std::size_t k = 0; k < bindings.size(); ++k) {
+            if (!std::isfinite(pool_capacity(k))) {
+                continue;
+            }
+            for (std::size_t p = 0; p < std::max<std::size_t>(subsets.size(), 1); ++p) {
+                const auto [all, in_use] = shares_of(p, k);
+                if (all > 0) {
+                    fractions[k] = std::min(fractions[k], pool_capacity(k) * in_use / all);
+                }
+            }
+            if (context.settings.admission_kind == AdmissionKind::rate) {
+                fractions[k] = std::floor(fractions[k]);
+            } else if (context.settings.admission_kind == AdmissionKind::none) {
+                fractions[k] = 1;
+            }
+        }
+        return fractions;
+    }
+    bool lowers_pool(const RealVector& wanted) const {
+        bool lowers = false;
+        for (std::size_t k = 0; k < wanted.size(); ++k) {
+            lowers = lowers || wanted[k] < sent_pool(k);
+        }
+        return lowers;
+    }
+    bool differs_from_sent(const RealVector& wanted) const {
+        bool differs = false;
+        for (std::size_t k = 0; k < wanted.size(); ++k) {
+            const double sent = sent_pool(k);
+            differs = differs || (wanted[k] != sent && (wanted[k] == 1 || wanted[k] < 0.9 * sent ||
+                                                        wanted[k] > 1.25 * sent));
+        }
+        return differs;
+    }
+    bool may_be_put_into_use(const ServerId& server, int pool) const {
+        const Entry& entry = servers.at(server);
+        for (int k = 0; k < std::ssize(bindings); ++k) {
+            const bool concerned = pool < 0 || (pool == k && entry.sent[k] == 0);
+            if (!concerned || entry.wanted[k] == 0 || !std::isfinite(pool_capacity(k)) ||
+                entry.published[k] == 0) {
+                continue;
+            }
+            if (context.settings.admission_kind == AdmissionKind::none) {
+                if (!(pool_capacity(k) >= 1)) {
+                    return false;
+                }
+                continue;
+            }
+            const auto [all, in_use] = shares_of(entry.subset, k);
+            const double with_it = in_use + (is_in_use(server, entry, k) ? 0 : entry.published[k]);
+            if (!(sent_pool(k) <= 1.25 * pool_capacity(k) * with_it / all)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     // Mechanism 8. Guards against changes that don't fit into the channel for all proxies of a
     // subset at once: proxies share copies of the tables in groups, and each group is sent a change
     // by itself. A withdrawal would reach all of them at once, so the server's entries are removed
@@ -824,14 +980,19 @@
     void accept_admission() {
         const RealVector fractions = wanted_admission * (admission_paused ? 0.0 : 1.0);
         const bool no_retries = warming_up || fractions.min() < 1;
-        const int rank = fractions.max() == 0 || sent_admission.max() == 0 ? 0 : 1;
+        const RealVector pool_admission = wanted_pool_admission();
+        const int rank =
+            fractions.max() == 0 || sent_admission.max() == 0 || lowers_pool(pool_admission) ? 0
+                                                                                             : 1;
         const double lines = lines_per_message + 1.0 * fractions.size();
         const std::vector<ProxyId> partial = partial_proxies(-1);
-        if ((no_retries == sent_no_retries &&
+        if ((no_retries == sent_no_retries && !differs_from_sent(pool_admission) &&
              std::abs(fractions - sent_admission).max() <= kMinFractionChange) ||
             lines * 1.0 * partial.size() > available_window(rank)) {
             return;
         }
+        sent_pool_admission.resize(pool_admission.size());
+        sent_pool_admission = pool_admission;
         sent_admission = fractions, sent_no_retries = no_retries, admission_sent = true;
         for (Group& group : groups) {
             group.unsent_admission = group.unsent_admission == 0 ? 0 : rank;
@@ -849,8 +1010,9 @@
             const auto& [rank, size, server, pool] = *change;
             Entry& entry = servers.at(server);
             const bool is_weight = pool >= 0;
-            const bool is_accepted =
-                is_weight && weights_are_sent && weights < 1.0 * sent_admission.size() + 1;
+            const bool is_accepted = is_weight && weights_are_sent &&
+                                     weights < 1.0 * sent_admission.size() + 1 &&
+                                     may_be_put_into_use(server, pool);
             if (is_accepted) {
                 set_sent(server, entry, pool, entry.wanted[pool], 1), ++weights;
             }
@@ -885,7 +1047,8 @@
                 return std::ranges::any_of(
                     group.unsent, [&](const auto& its) { return its.first.second == server; });
             });
-            if (pool >= 0 || entry.sent.sum() > 0 || is_unsent) {
+            if (pool >= 0 || entry.sent.sum() > 0 || is_unsent ||
+                !may_be_put_into_use(server, -1)) {
                 continue;
             }
             const bool repeated = entry.withdrawn && entry.wanted.sum() == 0;
@@ -940,7 +1103,9 @@
     void send_to_groups(int rank) {
         for (Group& group : groups) {
             TimePoint& next = rank == 0 ? group.next_urgent : group.next_other;
-            if (group.count(rank) == 0 || context.now < next) {
+            // Lower admission precedes what needs it.
+            const bool admission_first = rank != 0 && group.unsent_admission == 0;
+            if (group.count(rank) == 0 || context.now < next || admission_first) {
                 continue;
             }
             const double proxies = 1.0 * group.proxies.size();
@@ -1410,26 +1575,33 @@
             1.0 * bound_proxies.size() / std::max<std::size_t>(subsets.size(), 1);
         update_admission_pause(pending_withdrawals * proxies_per_subset);
         const RealVector admission_fractions = wanted_admission * (admission_paused ? 0.0 : 1.0);
+        const RealVector pool_admission = wanted_pool_admission();
         const bool no_retries = warming_up || admission_fractions.min() < 1,
                    retries_changed = no_retries != sent_no_retries;
-        const int rank = admission_fractions.max() == 0 || sent_admission.max() == 0 ? 0 : 1;
+        const int rank = admission_fractions.max() == 0 || sent_admission.max() == 0 ||
+                                 lowers_pool(pool_admission)
+                             ? 0
+                             : 1;
         const bool is_worth_sending =
             retries_changed ||
-            std::abs(admission_fractions - sent_admission).max() > kMinFractionChange;
+            std::abs(admission_fractions - sent_admission).max() > kMinFractionChange ||
+            differs_from_sent(pool_admission);
         if (const double admission_lines = 1.0 * admission_fractions.size();
             is_worth_sending && fits(rank, admission_lines, -1, last_join)) {
             const RetryPolicy retry_policy = no_retries ? RetryPolicy::never : kRetryPolicy;
             for (std::size_t k = 0; k < bindings.size(); ++k) {
                 for (const MethodId m : bindings[k].methods) {
                     for (const Group& group : groups) {
-                        context.orders.push_back(
-                            order::SetAdmission{table_of(k, group.table_set),
-                                                {m},
-                                                full_admission * admission_fractions[m.value],
-                                                retry_policy});
+                        context.orders.push_back(order::SetAdmission{
+                            table_of(k, group.table_set),
+                            {m},
+                            full_admission * admission_fractions[m.value] * pool_admission[k],
+                            retry_policy});
                     }
                 }
             }
+            sent_pool_admission.resize(pool_admission.size());
+            sent_pool_admission = pool_admission;
             sent_admission = admission_fractions, sent_no_retries = no_retries,
             (rank == 0 ? urgent_sent : learnt_sent) = admission_sent = true;
             for (const auto& [proxy, its] : bound_proxies) {
@@ -1449,8 +1621,12 @@
             const auto& [slice, server, weight] = transfers.front();
             context.orders.push_back(order::SetTableEntry{slice, server, weight});
         }
-        for (; !pending_changes.empty(); pending_changes.pop_front()) {
-            const auto& [rank, size, server, pool] = pending_changes.front();
+        for (auto change = pending_changes.begin(); change != pending_changes.end();) {
+            const auto& [rank, size, server, pool] = *change;
+            if (!may_be_put_into_use(server, pool)) {
+                ++change;
+                continue;
+            }
             const Entry& entry = servers.at(server);
             const bool already_withdrawn = entry.withdrawn && entry.wanted.sum() == 0;
             const int after_join = pool >= 0           ? last_join
@@ -1468,6 +1644,7 @@
                 unbound_lines += unbound_joined_after(after_join),
                 first_notified_join = std::min(first_notified_join, after_join);
             notified_joins.push_back(after_join), apply_change(server, pool);
+            change = pending_changes.erase(change);
         }
         if (!urgent_sent && !learnt_sent) {
             return;
@@ -1505,10 +1682,11 @@
         const RetryPolicy retry_policy = sent_no_retries ? RetryPolicy::never : kRetryPolicy;
         for (std::size_t k = 0; k < bindings.size(); ++k) {
             for (const MethodId m : bindings[k].methods) {
-                orders.push_back(order::SetAdmission{table_of(k, table_set),
-                                                     {m},
-                                                     full_admission * sent_admission[m.value],
-                                                     retry_policy});
+                orders.push_back(
+                    order::SetAdmission{table_of(k, table_set),
+                                        {m},
+                                        full_admission * sent_admission[m.value] * sent_pool(k),
+                                        retry_policy});
             }
         }
     }
--- a/tests/reference/notes.hpp
+++ b/tests/reference/notes.hpp
@@ -73,10 +73,15 @@
     RealVector rates;              // admitted RPCs, by method
     double total_to_own_load = 1,  // load of all proxies by that reported of this planner's
         announced_rate = 0;        // RPCs a second that all proxies announced
+    std::map<ZoneId, double> zone_fractions{};  // of what this planner's proxies announced
 };
 struct WarmUpState {
     bool any_warming_up;
 };
+// What the servers of each pool certainly handle while all are cold, by the pool's traffic.
+struct PoolCapacities {
+    std::vector<double> fractions;  // infinite: no limit
+};
 struct AdmissionFractions {
     RealVector by_method;
 };
@@ -84,7 +89,7 @@
 using Message =
     std::variant<EndpointListed, EndpointUnlisted, EvidenceWindowClosed, OptimizerStep, Tick,
                  RenewSubscription, EndpointStatus, DesiredWeights, OwnershipTransfer, PoolBinding,
-                 DemandEstimate, AdmissionFractions, WarmUpState, ZonedLoadReport,
+                 DemandEstimate, AdmissionFractions, PoolCapacities, WarmUpState, ZonedLoadReport,
                  event::EndpointLoadReport, event::ProxyJoined, event::ProxyLeft,
                  event::DemandReport, event::SliceAssigned, event::SliceOwnerReported,
                  event::Acknowledgement>;
