The longest unfinished line is given up when line buffers run short, not the newest

Cause: unfinished lines share one pool of buffers, and whoever finds it empty is closed, also a join of 30 bytes. By the log: "no buffer left for the line" for the bystanders, at 62 of 230 connections and 6.3 MB. Change: before each read EventLoop frees buffers for it by closing the peer with the longest unfinished line. Test: "a join in pieces succeeds while others hold long unfinished lines" failed before.

--- a/src/net/close_reason.cpp
+++ b/src/net/close_reason.cpp
@@ -37,6 +37,8 @@
             return "not identified in time";
         case CloseCause::idle_timeout:
             return "idle timeout";
+        case CloseCause::longest_line:
+            return "longest unfinished line while line buffers are short";
     }
     return "unknown reason";
 }
--- a/src/net/close_reason.hpp
+++ b/src/net/close_reason.hpp
@@ -33,6 +33,7 @@
     invalid_input,  ///< a message or line that the connection must be closed for
     join_timeout,   ///< the peer was still unidentified at its deadline
     idle_timeout,   ///< a collector sent nothing for kCollectorIdleTimeout
+    longest_line,   ///< its unfinished line was the longest when line buffers ran short
 };
 
 struct CloseReason {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -45,8 +45,9 @@
 /// bytes. No function blocks: the EventLoop calls the connection when its socket can be read or
 /// written.
 ///
-/// Threads: on_readable(), on_writable(), on_closed() and deadline() are called only by the event
-/// loop's thread. Any thread may call send(), pending_bytes(), close(), close_if_idle() and role().
+/// Threads: on_readable(), on_writable(), on_closed(), deadline() and unfinished_line_bytes() are
+/// called only by the event loop's thread. Any thread may call send(), pending_bytes(), close(),
+/// close_if_idle() and role().
 ///
 /// Bounds: a line has at most kMaxUnidentifiedLineBytes before and LineReader::kMaxLineBytes after
 /// the peer has identified itself; unsent bytes are at most kMaxPendingBytes plus one message; the
@@ -115,6 +116,8 @@
     void on_writable();
     /// Closes the connection and reports that to the core, for a proxy, or to the log.
     void on_closed(const CloseReason& reason);
+    /// Number of bytes held of an unfinished line.
+    [[nodiscard]] std::size_t unfinished_line_bytes() const { return line_reader_.held_bytes(); }
     /// When the connection must be checked even without input; absent if never.
     [[nodiscard]] std::optional<TimePoint> deadline() const;
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -42,6 +42,7 @@
     while (!stopping_) {
         const int count = poller_.wait(ready, wait_milliseconds());
         for (int i = 0; i < count && !stopping_; ++i) {
+            free_line_buffers();
             if (const auto connection = find(StreamId{ready[i].token})) {
                 serve(connection, ready[i].events, buffer);
             }
@@ -56,6 +57,34 @@
     return at == connections_.end() ? nullptr : at->second;
 }
 
+// Closes the connections with the longest unfinished lines until the next read has enough buffers,
+// so that peers with short lines lose none. A peer may stop in the middle of a line of 1 MiB.
+void EventLoop::free_line_buffers() {
+    while (context_.line_buffers.available() < kLineBuffersPerRead) {
+        const auto holder = holder_of_longest_line();
+        if (!holder) {
+            return;
+        }
+        context_.log.warn("connection: peer shed peer={} unfinished_line_bytes={}", holder->peer(),
+                          holder->unfinished_line_bytes());
+        close(holder, {CloseCause::longest_line, {}});
+    }
+}
+
+std::shared_ptr<Connection> EventLoop::holder_of_longest_line() {
+    const std::lock_guard lock(mutex_);
+    std::shared_ptr<Connection> holder;
+    std::size_t most_bytes = 0;
+    for (const auto& [id, connection] : connections_) {
+        const std::size_t bytes = connection->unfinished_line_bytes();
+        if (bytes > most_bytes) {
+            most_bytes = bytes;
+            holder = connection;
+        }
+    }
+    return holder;
+}
+
 void EventLoop::serve(const std::shared_ptr<Connection>& connection, unsigned events,
                       std::span<char> buffer) {
     if (events & Poller::kWritable) {
@@ -93,6 +122,7 @@
     while (const auto connection = take_overdue(now)) {
         auto deadline = connection->deadline();
         if (deadline && *deadline <= now) {
+            free_line_buffers();
             if (const auto reason = connection->on_readable(buffer)) {
                 close(connection, *reason);
                 continue;
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -47,7 +47,12 @@
     /// they are noticed up to this much late.
     static constexpr std::chrono::milliseconds kMaxWait{200};
 
+    /// Blocks that one read may add to unfinished lines: its bytes, and the next block's first.
+    static constexpr std::size_t kLineBuffersPerRead = 2;
+
     [[nodiscard]] std::shared_ptr<Connection> find(StreamId id);
+    void free_line_buffers();
+    [[nodiscard]] std::shared_ptr<Connection> holder_of_longest_line();
     void serve(const std::shared_ptr<Connection>& connection, unsigned events,
                std::span<char> buffer);
     void close(const std::shared_ptr<Connection>& connection, const CloseReason& reason);
--- a/src/protocol/buffer_pool.cpp
+++ b/src/protocol/buffer_pool.cpp
@@ -29,6 +29,11 @@
     return lease;
 }
 
+std::size_t BufferPool::available() const {
+    const std::lock_guard lock(mutex_);
+    return max_blocks_ - allocated_blocks_ + free_blocks_.size();
+}
+
 void BufferPool::put(Block* block) {
     const std::lock_guard lock(mutex_);
     free_blocks_.emplace_back(block);
--- a/src/protocol/buffer_pool.hpp
+++ b/src/protocol/buffer_pool.hpp
@@ -34,11 +34,13 @@
 
     /// Returns a block with unspecified contents, or an empty lease if all blocks are in use.
     [[nodiscard]] Lease take();
+    /// Number of blocks that are not in use.
+    [[nodiscard]] std::size_t available() const;
 
  private:
     void put(Block* block);
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::vector<std::unique_ptr<Block>> free_blocks_;
     const std::size_t max_blocks_;
     std::size_t allocated_blocks_ = 0;
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -69,6 +69,8 @@
 
     /// Whether the start of an unfinished line is held.
     [[nodiscard]] bool in_mid_line() const { return !held_.empty(); }
+    /// Number of bytes held of an unfinished line.
+    [[nodiscard]] std::size_t held_bytes() const { return held_.size(); }
 
  private:
     static constexpr std::string_view kLineEnd = "\r\n";
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -189,6 +189,28 @@
     CHECK(wait_for_close(partial_joins.front()));
 }
 
+// Guards against peers that are refused because others stop in the middle of long lines (issue 56,
+// report a): the buffers for unfinished lines are taken, and a join in pieces needs one.
+TEST_CASE_METHOD(AcceptorFixture,
+                 "a join in pieces succeeds while others hold long unfinished lines") {
+    std::vector<Socket> collectors;
+    for (const int blocks : {19, 16, 16, 13}) {  // together all of line_buffers
+        collectors.push_back(connect());
+        collectors.back().send_all("agent az=a\r\n");
+        REQUIRE(answers_probe(collectors.back()));
+        collectors.back().send_all(
+            "outcomes az=a host=" +
+            std::string(blocks * protocol::BufferPool::kBlockBytes - 100, 'x'));
+    }
+    CHECK(wait_for_close(collectors.front()));  // it holds the longest line
+    const Socket proxy = connect();
+    REQUIRE(answers_probe(proxy));
+    proxy.send_all(hello(5).substr(0, 12));
+    std::this_thread::sleep_for(50ms);
+    proxy.send_all(hello(5).substr(12));
+    CHECK(expect_next<core_event::StreamOpened>().joined.proxy == ProxyId{5});
+}
+
 TEST_CASE_METHOD(
     AcceptorFixture,
     "a join that arrives slowly succeeds after the usual deadline, and an endless one is closed") {
