Silent collectors beyond two a zone make room when connections are used up

Cause: only unidentified peers are closed to make room, and collectors were not bounded. By the log: "connection rejected connections=230", at 4.6 MB. Test: "silent collectors make room for others, and those that report stay" failed before.

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -101,7 +101,7 @@
             context_.log.warn("acceptor: accept failed error=\"{}\"", std::strerror(error));
             {
                 const std::lock_guard lock(mutex_);
-                (void)shed_unidentified();
+                (void)shed_for_connection();
             }
             std::this_thread::sleep_for(kAcceptBackoff);
         } else if (is_shut_down(error)) {
@@ -135,36 +135,67 @@
     unidentified_.erase(id);
 }
 
-// Closes an idle unidentified peer if a limit is reached; returns false if none could be closed.
-// Peers that have identified themselves since they were accepted are removed from unidentified_
-// only here, when the limit is reached.
+// Closes a connection if a limit is reached; returns false if none could be closed. Peers that have
+// identified themselves since they were accepted are removed from unidentified_ only here, when the
+// limit is reached.
 bool Acceptor::make_room() {
     if (unidentified_.size() >= max_unidentified_) {
         std::erase_if(unidentified_, [](const Connections::value_type& entry) {
             return entry.second->role() != Role::unidentified;
         });
     }
-    const bool full =
-        connections_.size() >= max_connections_ || unidentified_.size() >= max_unidentified_;
-    return !full || shed_unidentified();
+    if (unidentified_.size() >= max_unidentified_) {
+        return shed_unidentified(false) || shed_unidentified(true);
+    }
+    return connections_.size() < max_connections_ || shed_for_connection();
 }
 
-// Closes the oldest idle unidentified peer; returns false if there is none. Peers that are in the
-// middle of a line are closed last, as they may be proxies on slow links.
-bool Acceptor::shed_unidentified() {
-    for (const bool include_mid_line : {false, true}) {
-        for (auto at = unidentified_.begin(); at != unidentified_.end(); ++at) {
-            if (!at->second->close_if_idle(include_mid_line)) {
-                continue;
-            }
-            connections_.erase(at->first);
-            unidentified_.erase(at);
-            return true;
+// Closes a connection to make room for another, or for its descriptor. Excess collectors go first,
+// as an unidentified peer may be about to join; peers that are in the middle of a line go last, as
+// they may be proxies on slow links.
+bool Acceptor::shed_for_connection() {
+    return shed_excess_collector() || shed_unidentified(false) || shed_unidentified(true);
+}
+
+// Closes the oldest idle unidentified peer, also one in the middle of a line if `mid_line`; returns
+// false if there is none.
+bool Acceptor::shed_unidentified(bool mid_line) {
+    for (auto at = unidentified_.begin(); at != unidentified_.end(); ++at) {
+        if (!at->second->close_if_idle(mid_line)) {
+            continue;
         }
+        connections_.erase(at->first);
+        unidentified_.erase(at);
+        return true;
     }
     return false;
 }
 
+// Closes the collector that has been silent the longest if there are more than zones need; returns
+// false if there are not. Any stranger may say that it is a collector.
+bool Acceptor::shed_excess_collector() {
+    std::size_t collectors = 0;
+    std::shared_ptr<Connection> most_silent;
+    for (const auto& [id, connection] : connections_) {
+        if (connection->role() != Role::collector) {
+            continue;
+        }
+        ++collectors;
+        if (!most_silent || connection->last_message_at() < most_silent->last_message_at()) {
+            most_silent = connection;
+        }
+    }
+    if (collectors <= kMaxCollectorsPerZone * context_.names.zones.size()) {
+        return false;
+    }
+    context_.log.warn("acceptor: collector shed peer={} collectors={}", most_silent->peer(),
+                      collectors);
+    most_silent->close();
+    connections_.erase(most_silent->id());
+    unidentified_.erase(most_silent->id());
+    return true;
+}
+
 std::shared_ptr<Connection> Acceptor::find(StreamId stream) {
     const std::lock_guard lock(mutex_);
     const auto at = connections_.find(stream);
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -24,9 +24,10 @@
 /// Accepts connections and hands them to its event loop. Owns the listening socket, the event loop,
 /// the threads of both and, shared with the event loop, the connections.
 ///
-/// Bounds: `max_connections` and `max_unidentified`. When a new connection would exceed either, the
-/// acceptor closes the oldest idle unidentified peer; if there is none, it rejects the new
-/// connection.
+/// Bounds: `max_connections` and `max_unidentified`. When a new connection would exceed the first,
+/// and there are more collectors than zones need, the acceptor closes the one that has been silent
+/// the longest. Otherwise it closes the oldest idle unidentified peer; if there is none, it rejects
+/// the new connection.
 ///
 /// Threads: open() is called once, by one thread. Any thread may call write(), close(), address()
 /// and begin_shutdown(). Any thread except the acceptor's own two may call shutdown(), which
@@ -64,8 +65,14 @@
 
     void run();
     void add(Socket socket, const Address& peer);
-    [[nodiscard]] bool make_room();          // requires mutex_
-    [[nodiscard]] bool shed_unidentified();  // requires mutex_
+    /// A collector may reconnect before its old connection ends.
+    static constexpr std::size_t kMaxCollectorsPerZone = 2;
+
+    // These require mutex_.
+    [[nodiscard]] bool make_room();
+    [[nodiscard]] bool shed_for_connection();
+    [[nodiscard]] bool shed_unidentified(bool mid_line);
+    [[nodiscard]] bool shed_excess_collector();
     [[nodiscard]] bool shed_slowest_reader();
     [[nodiscard]] std::shared_ptr<Connection> find(StreamId stream);
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -29,9 +29,9 @@
       id_(id),
       socket_(std::move(socket)),
       peer_(std::move(peer)),
+      last_message_at_(steady_clock::now()),
       line_reader_(context.line_buffers, kMaxUnidentifiedLineBytes),
-      accepted_at_(steady_clock::now()),
-      last_message_at_(accepted_at_) {
+      accepted_at_(last_message_at_) {
     socket_.set_options(kSendBufferBytes, kReceiveBufferBytes);
 }
 
@@ -134,7 +134,7 @@
         case Role::unidentified:
             return accepted_at_ + (line_reader_.in_mid_line() ? kMidLineJoinTimeout : kJoinTimeout);
         case Role::collector:
-            return last_message_at_ + kCollectorIdleTimeout;
+            return last_message_at() + kCollectorIdleTimeout;
         case Role::proxy:
             break;
     }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -47,7 +47,7 @@
 ///
 /// Threads: on_readable(), on_writable(), on_closed(), deadline() and unfinished_line_bytes() are
 /// called only by the event loop's thread. Any thread may call send(), pending_bytes(), close(),
-/// close_if_idle() and role().
+/// close_if_idle(), role() and last_message_at().
 ///
 /// Bounds: a line has at most kMaxUnidentifiedLineBytes before and LineReader::kMaxLineBytes after
 /// the peer has identified itself; unsent bytes are at most kMaxPendingBytes plus one message; the
@@ -138,6 +138,8 @@
     [[nodiscard]] bool close_if_idle(bool include_mid_line);
 
     [[nodiscard]] Role role() const { return role_; }
+    /// When the last valid message arrived; at first, when the connection was accepted.
+    [[nodiscard]] TimePoint last_message_at() const { return last_message_at_; }
     [[nodiscard]] StreamId id() const { return id_; }
     [[nodiscard]] const std::string& peer() const { return peer_; }
 
@@ -175,12 +177,12 @@
     const Socket socket_;
     const std::string peer_;
     std::atomic<Role> role_{Role::unidentified};
+    std::atomic<TimePoint> last_message_at_;
 
     // Used only by the event loop's thread.
     ProxyId proxy_{-1};
     protocol::LineReader line_reader_;
     const TimePoint accepted_at_;
-    TimePoint last_message_at_;
     TimePoint drops_logged_at_;
     std::size_t dropped_messages_ = 0;  // since drops_logged_at_
     std::optional<Linger> linger_;      // set when lingering begins, and kept after the close
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -211,6 +211,32 @@
     CHECK(expect_next<core_event::StreamOpened>().joined.proxy == ProxyId{5});
 }
 
+// Guards against strangers that take all connections by saying that they are collectors (issue 56,
+// report a).
+TEST_CASE("silent collectors make room for others, and those that report stay") {
+    AcceptorFixture fixture(12, 10);  // two zones need four collectors
+    const auto connect_collector = [&] {
+        Socket collector = fixture.connect();
+        collector.send_all("agent az=a\r\n");
+        REQUIRE(answers_probe(collector));
+        return collector;
+    };
+    const Socket reporting = connect_collector();
+    std::vector<Socket> silent;
+    for (int i = 0; i < 11; ++i) {
+        silent.push_back(connect_collector());
+    }
+    REQUIRE(answers_probe(reporting));
+    std::vector<Socket> proxies;
+    for (const int number : {5, 6}) {
+        proxies.push_back(fixture.connect());
+        proxies.back().send_all(hello(number));
+        CHECK(fixture.expect_next<core_event::StreamOpened>().joined.proxy == ProxyId{number});
+        CHECK(wait_for_close(silent[number - 5]));  // the one that was silent the longest
+    }
+    CHECK(answers_probe(reporting));
+}
+
 TEST_CASE_METHOD(
     AcceptorFixture,
     "a join that arrives slowly succeeds after the usual deadline, and an endless one is closed") {
