A connection that is being closed drops what it had not read

Cause: after Connection::close() the kernel still gives the bytes that it has received, and on_readable handled them; acknowledgements carry their stream and were dropped, reports do not. Change: a connection that is closing reads to its end and drops the bytes. Test: "what a stream has not read when it is closed is dropped" failed before: the demand report came, not the end.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -67,6 +67,11 @@
     reach(context_.sync, SyncPoint::connection_ready);
     const ssize_t received = socket_.receive_now(buffer.data(), buffer.size());
     reach(context_.sync, SyncPoint::bytes_received);
+    bool closing = false;
+    {
+        const std::lock_guard lock(mutex_);
+        closing = state_ == State::closing;
+    }
     std::optional<CloseReason> reason;
     if (received == Socket::kEndOfStream) {
         const bool mid_line = line_reader_.in_mid_line();
@@ -74,7 +79,7 @@
             CloseReason{mid_line ? CloseCause::peer_closed_mid_line : CloseCause::peer_closed, {}};
     } else if (received == Socket::kFailed) {
         reason = CloseReason{CloseCause::reset, {}};
-    } else if (received > 0) {
+    } else if (received > 0 && !closing) {
         reason = handle_bytes({buffer.data(), static_cast<std::size_t>(received)});
     }
     {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -130,7 +130,7 @@
     /// Number of unsent bytes.
     [[nodiscard]] std::size_t pending_bytes();
     /// Drops unsent bytes and shuts the socket down; the event loop then reads the end of the
-    /// stream.
+    /// stream, and drops what it had not read before.
     void close();
     /// Closes the connection if its peer is unidentified and none of its bytes wait to be read. A
     /// peer in the middle of a line is closed only if `include_mid_line`. Returns whether it was
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -237,6 +237,20 @@
     CHECK(answers_probe(reporting));
 }
 
+// Guards against input that is used after its stream was closed (issue 56, report c): a proxy has
+// come back, and its old stream still has unread input.
+TEST_CASE_METHOD(AcceptorFixture, "what a stream has not read when it is closed is dropped") {
+    const Socket proxy = connect();
+    proxy.send_all(hello(5));
+    const StreamId stream = expect_next<core_event::StreamOpened>().stream;
+    sync.block_at(SyncPoint::connection_ready);
+    proxy.send_all("demand sidecar=5 kind=lookup n=3 bad=0 window=500.0\r\n");
+    sync.await(SyncPoint::connection_ready);
+    acceptor.close(stream);
+    sync.release(SyncPoint::connection_ready);
+    CHECK(expect_next<core_event::StreamClosed>().stream == stream);
+}
+
 TEST_CASE_METHOD(
     AcceptorFixture,
     "a join that arrives slowly succeeds after the usual deadline, and an endless one is closed") {
