A proxy that joins again and again is bound after all others

Cause: ten returns a second of ten proxies ask for more lines than the channel carries, and the order in which unbound proxies are bound (initial table, rate, number) puts those that were bound a moment ago first again. Change: a proxy that joins within 5 s of its last binding comes after all others. The reference planner alike.

--- a/src/decision/proxy_binder.cpp
+++ b/src/decision/proxy_binder.cpp
@@ -10,13 +10,19 @@
 // Rate assumed for a proxy that announced no traffic: enough to spread such proxies over subsets.
 constexpr double kMinRpcsPerSecond = 1e-3;
 
+// A proxy that joins again within this time of its binding is bound after all others.
+constexpr Duration kReturnInterval = std::chrono::seconds(5);
+
 constexpr auto kPartialTableSize = static_cast<std::size_t>(kMinSubsetSize);
 
 }  // namespace
 
 void ProxyBinder::on_proxy_joined(const event::ProxyJoined& joined) {
     on_proxy_left(joined.proxy);
-    state_.unbound_proxies.add(joined);
+    const auto bound = bound_at_.find(joined.proxy);
+    const bool returned =
+        bound != bound_at_.end() && state_.context.now - bound->second < kReturnInterval;
+    state_.unbound_proxies.add(joined, returned);
 }
 
 void ProxyBinder::on_proxy_left(ProxyId proxy) {
@@ -50,6 +56,7 @@
             break;
         }
         state_.unbound_proxies.remove(target.proxy);
+        bound_at_[target.proxy] = state_.context.now;
     }
 }
 
--- a/src/decision/proxy_binder.hpp
+++ b/src/decision/proxy_binder.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -72,6 +73,7 @@
     SchedulerState& state_;
     SubsetAssignment& assignment_;
     const AdmissionUpdates& admission_;
+    std::map<ProxyId, TimePoint> bound_at_;  // when each proxy was last bound after a join
     std::deque<ProxyId> partially_bound_;  // by time of binding; some are fully bound or gone since
 };
 
--- a/src/decision/unbound_proxies.hpp
+++ b/src/decision/unbound_proxies.hpp
@@ -16,14 +16,20 @@
     ZoneId zone;
     double rpcs_per_second = 0;  ///< as it announced
     bool initial_table_only = false;
-    int join_number = 0;  ///< position of its join among all joins, from 1
+    int join_number = 0;    ///< position of its join among all joins, from 1
+    bool returned = false;  ///< this planner had bound it a short time before
 };
 
-/// Proxies that have only their initial table come first, then the busiest.
+/// Proxies that were not bound a short time before come first, so that one that joins again and
+/// again delays no other. Among these, proxies that have only their initial table come first, then
+/// the busiest.
 struct BindingOrder {
     bool operator()(const UnboundProxy& one, const UnboundProxy& other) const {
-        return std::tuple(!one.initial_table_only, -one.rpcs_per_second, one.proxy) <
-               std::tuple(!other.initial_table_only, -other.rpcs_per_second, other.proxy);
+        const auto key = [](const UnboundProxy& proxy) {
+            return std::tuple(proxy.returned, !proxy.initial_table_only, -proxy.rpcs_per_second,
+                              proxy.proxy);
+        };
+        return key(one) < key(other);
     }
 };
 
@@ -31,10 +37,10 @@
 class UnboundProxies {
  public:
     /// Adds a proxy that is not in the set.
-    void add(const event::ProxyJoined& joined) {
+    void add(const event::ProxyJoined& joined, bool returned = false) {
         ++join_count_;
         proxies_.insert({joined.proxy, joined.zone, joined.rpcs_per_second,
-                         joined.initial_table_only, join_count_});
+                         joined.initial_table_only, join_count_, returned});
     }
     void remove(ProxyId proxy) {
         std::erase_if(proxies_,
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -691,8 +691,9 @@
     std::vector<Group> groups{};
     TimePoint next_notices{};
     std::map<ProxyId, BoundProxy> bound_proxies{};
-    std::map<std::tuple<bool, double, ProxyId>, UnboundProxy>
-        unbound_proxies{};  // in the order in which they are bound
+    std::map<std::tuple<bool, bool, double, ProxyId>, UnboundProxy>
+        unbound_proxies{};                    // in the order in which they are bound
+    std::map<ProxyId, TimePoint> bound_at{};  // after a join
     std::deque<OwnershipTransfer> transfers{};
     std::deque<Change> pending_changes{};
     int pending_withdrawals = 0;  // among pending_changes; the first has been due since oldest_due
@@ -727,8 +728,12 @@
     void on(const OwnershipTransfer& message) { transfers.push_back(message); }
     void on(const event::ProxyJoined& message) {
         on(event::ProxyLeft{message.proxy}), proxy_joined = true;
-        unbound_proxies[{!message.initial_table_only, -message.rpcs_per_second, message.proxy}] = {
-            message.zone, ++last_join};
+        // Guards against proxies that join again and again: they are bound after all others.
+        const auto bound = bound_at.find(message.proxy);
+        const bool returned =
+            bound != bound_at.end() && context.now - bound->second < std::chrono::seconds(5);
+        unbound_proxies[{returned, !message.initial_table_only, -message.rpcs_per_second,
+                         message.proxy}] = {message.zone, ++last_join};
     }
     void on(const event::ProxyLeft& message) {
         std::erase_if(unbound_proxies,
@@ -1788,7 +1793,7 @@
     void bind_waiting_proxies() {
         while (!unbound_proxies.empty() && !subsets.empty()) {
             const auto [position, unbound_proxy] = *unbound_proxies.begin();
-            const auto [without_initial_table, negative_rate, proxy] = position;
+            const auto [returned, without_initial_table, negative_rate, proxy] = position;
             const double rate = std::max(-negative_rate, 1e-3);
             const std::size_t subset = least_loaded_subset(unbound_proxy.zone, rate);
             const double in_grace = kAssuredPaceFraction * seconds(context.settings.drain_grace) *
@@ -1803,7 +1808,7 @@
                 bind(proxy, unbound_proxy.zone, rate, subset, max_cost) == 0) {
                 break;
             }
-            unbound_proxies.erase(position);
+            unbound_proxies.erase(position), bound_at[proxy] = context.now;
         }
     }
     void complete_partial_bindings() {
