Sums over a cold pool's endpoints are computed once a decision, not once an endpoint

Cause: pool_admission walked over all endpoints of a pool for each endpoint that waits to be put into use, the square of a pool's size in one decision where a whole pool returns cold; found by reading the change again. Change: PoolAdmission keeps the sums until the tables change; a decision that changes k endpoints walks k + 1 times. No timing was taken.

--- a/src/decision/admission_updates.cpp
+++ b/src/decision/admission_updates.cpp
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "decision/pool_admission.hpp"
-
 namespace micaroad::decision {
 
 namespace {
@@ -36,10 +34,11 @@
 
 // Prevents overload by retries: there are none while RPCs are shed, or while an endpoint is warming
 // up, which would be sent all RPCs that other endpoints reject.
-AdmissionSetting AdmissionUpdates::next_setting(bool paused) const {
+AdmissionSetting AdmissionUpdates::next_setting(bool paused) {
+    pool_admission_.forget_sums();
     RealVector fractions = wanted_fractions_ * (paused ? 0.0 : 1.0);
     const bool no_retries = state_.any_warming_up || fractions.min() < 1;
-    return {std::move(fractions), admitted_pool_fractions(state_),
+    return {std::move(fractions), pool_admission_.fractions(),
             no_retries ? RetryPolicy::never : kRetryPolicy};
 }
 
@@ -67,13 +66,13 @@
     return false;
 }
 
-bool AdmissionUpdates::allows(const RoutingEntry& entry, std::optional<std::size_t> pool) const {
+bool AdmissionUpdates::allows(const RoutingEntry& entry, std::optional<std::size_t> pool) {
     return std::ranges::all_of(entry.table_entries, [&](const PoolTableEntry& pool_entry) {
         const TableEntry& table_entry = *pool_entry.table_entry;
         const bool concerned = pool ? pool_entry.pool == *pool && table_entry.sent == 0 : true;
         return !concerned || table_entry.wanted == 0 ||
-               may_be_put_into_use(state_, entry, pool_entry.pool,
-                                   sent_pool_fraction(pool_entry.pool));
+               pool_admission_.may_be_put_into_use(entry, pool_entry.pool,
+                                                   sent_pool_fraction(pool_entry.pool));
     });
 }
 
--- a/src/decision/admission_updates.hpp
+++ b/src/decision/admission_updates.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <vector>
 
+#include "decision/pool_admission.hpp"
 #include "decision/scheduler_state.hpp"
 
 namespace micaroad::decision {
@@ -27,7 +28,7 @@
     void set_wanted(const RealVector& fractions) { wanted_fractions_ = fractions; }
 
     /// The setting to send now. `paused`: nothing is admitted, whatever is wanted.
-    [[nodiscard]] AdmissionSetting next_setting(bool paused) const;
+    [[nodiscard]] AdmissionSetting next_setting(bool paused);
     /// Whether the setting differs enough from the one that was sent last to be sent.
     [[nodiscard]] bool is_significant(const AdmissionSetting& setting) const;
     /// Urgent if admission as a whole starts or stops, or less of a pool is admitted.
@@ -35,7 +36,9 @@
 
     /// Whether what was sent last allows the endpoint's pending change: while all endpoints of a
     /// pool warm up, none is put into use before admission is low enough.
-    [[nodiscard]] bool allows(const RoutingEntry& entry, std::optional<std::size_t> pool) const;
+    [[nodiscard]] bool allows(const RoutingEntry& entry, std::optional<std::size_t> pool);
+    /// Has to be called after table entries, withdrawals or what groups were sent have changed.
+    void on_tables_changed() { pool_admission_.forget_sums(); }
 
     void set_sent(const AdmissionSetting& setting);
     [[nodiscard]] bool any_sent() const { return any_sent_; }
@@ -56,6 +59,7 @@
     static constexpr RetryPolicy kRetryPolicy = RetryPolicy::once_if_not_executed;
 
     const SchedulerState& state_;
+    PoolAdmission pool_admission_{state_};
     RealVector wanted_fractions_;
     AdmissionSetting sent_;
     bool any_sent_ = false;
--- a/src/decision/group_sender.cpp
+++ b/src/decision/group_sender.cpp
@@ -9,6 +9,7 @@
     accept_admission();
     accept_changes();
     send_to_groups(WindowUse::urgent);
+    admission_.on_tables_changed();
     send_notices();
     send_to_groups(WindowUse::binding);
     send_to_groups(WindowUse::learnt);
@@ -95,6 +96,7 @@
                                                 use);
         }
     }
+    admission_.on_tables_changed();
     state_.tables.on_weights_sent(entry);
 }
 
@@ -102,6 +104,7 @@
     TableEntry& table_entry = *pool_entry.table_entry;
     state_.tables.update_and_recount_lines(entry, [&] { table_entry.sent = table_entry.wanted; });
     state_.subsets.groups().mark_unsent(entry.subset, {pool_entry.pool, *entry.server}, use);
+    admission_.on_tables_changed();
 }
 
 // Withdraws and reinstates servers of which no group has an entry any more.
--- a/src/decision/update_sender.cpp
+++ b/src/decision/update_sender.cpp
@@ -97,6 +97,7 @@
         }
         state_.tables.take_change(*change);
         apply(entry, change->pool);
+        admission_.on_tables_changed();
     }
 }
 
