Among proxies that come back soon, the one bound longest ago is bound first

Cause: all proxies that come back soon were one class, in a fixed order. Change: they are bound by the time of their last binding. The reference planner alike.

--- a/src/decision/pool_admission.cpp
+++ b/src/decision/pool_admission.cpp
@@ -25,7 +25,7 @@
 bool PoolAdmission::may_be_put_into_use(const RoutingEntry& entry, std::size_t pool,
                                         double admitted) {
     const double capacity_fraction = state_.tables.pools()[pool].capacity_fraction;
-    const auto own =
+    const TableEntry* const own =
         std::ranges::find(entry.table_entries, pool, &PoolTableEntry::pool)->table_entry;
     if (!std::isfinite(capacity_fraction) || own->published == 0) {
         return true;
--- a/src/decision/proxy_binder.cpp
+++ b/src/decision/proxy_binder.cpp
@@ -10,7 +10,8 @@
 // Rate assumed for a proxy that announced no traffic: enough to spread such proxies over subsets.
 constexpr double kMinRpcsPerSecond = 1e-3;
 
-// A proxy that joins again within this time of its binding is bound after all others.
+// A proxy that joins again within this time of its binding is bound after all others, and after
+// those whose binding is longer ago.
 constexpr Duration kReturnInterval = std::chrono::seconds(5);
 
 constexpr auto kPartialTableSize = static_cast<std::size_t>(kMinSubsetSize);
@@ -22,7 +23,7 @@
     const auto bound = bound_at_.find(joined.proxy);
     const bool returned =
         bound != bound_at_.end() && state_.context.now - bound->second < kReturnInterval;
-    state_.unbound_proxies.add(joined, returned);
+    state_.unbound_proxies.add(joined, returned ? bound->second : TimePoint{});
 }
 
 void ProxyBinder::on_proxy_left(ProxyId proxy) {
--- a/src/decision/unbound_proxies.hpp
+++ b/src/decision/unbound_proxies.hpp
@@ -16,17 +16,19 @@
     ZoneId zone;
     double rpcs_per_second = 0;  ///< as it announced
     bool initial_table_only = false;
-    int join_number = 0;    ///< position of its join among all joins, from 1
-    bool returned = false;  ///< this planner had bound it a short time before
+    int join_number = 0;  ///< position of its join among all joins, from 1
+    /// When this planner last bound it, if that was a short time before its join; otherwise the
+    /// epoch.
+    TimePoint bound_at;
 };
 
-/// Proxies that were not bound a short time before come first, so that one that joins again and
-/// again delays no other. Among these, proxies that have only their initial table come first, then
-/// the busiest.
+/// Proxies that were not bound a short time before come first, then those whose binding is the
+/// longest ago, so that one that joins again and again delays no other. Among the former, proxies
+/// that have only their initial table come first, then the busiest.
 struct BindingOrder {
     bool operator()(const UnboundProxy& one, const UnboundProxy& other) const {
         const auto key = [](const UnboundProxy& proxy) {
-            return std::tuple(proxy.returned, !proxy.initial_table_only, -proxy.rpcs_per_second,
+            return std::tuple(proxy.bound_at, !proxy.initial_table_only, -proxy.rpcs_per_second,
                               proxy.proxy);
         };
         return key(one) < key(other);
@@ -37,10 +39,10 @@
 class UnboundProxies {
  public:
     /// Adds a proxy that is not in the set.
-    void add(const event::ProxyJoined& joined, bool returned = false) {
+    void add(const event::ProxyJoined& joined, TimePoint bound_at = {}) {
         ++join_count_;
         proxies_.insert({joined.proxy, joined.zone, joined.rpcs_per_second,
-                         joined.initial_table_only, join_count_, returned});
+                         joined.initial_table_only, join_count_, bound_at});
     }
     void remove(ProxyId proxy) {
         std::erase_if(proxies_,
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -691,7 +691,7 @@
     std::vector<Group> groups{};
     TimePoint next_notices{};
     std::map<ProxyId, BoundProxy> bound_proxies{};
-    std::map<std::tuple<bool, bool, double, ProxyId>, UnboundProxy>
+    std::map<std::tuple<TimePoint, bool, double, ProxyId>, UnboundProxy>
         unbound_proxies{};                    // in the order in which they are bound
     std::map<ProxyId, TimePoint> bound_at{};  // after a join
     std::deque<OwnershipTransfer> transfers{};
@@ -732,8 +732,8 @@
         const auto bound = bound_at.find(message.proxy);
         const bool returned =
             bound != bound_at.end() && context.now - bound->second < std::chrono::seconds(5);
-        unbound_proxies[{returned, !message.initial_table_only, -message.rpcs_per_second,
-                         message.proxy}] = {message.zone, ++last_join};
+        unbound_proxies[{returned ? bound->second : TimePoint{}, !message.initial_table_only,
+                         -message.rpcs_per_second, message.proxy}] = {message.zone, ++last_join};
     }
     void on(const event::ProxyLeft& message) {
         std::erase_if(unbound_proxies,
@@ -1793,7 +1793,7 @@
     void bind_waiting_proxies() {
         while (!unbound_proxies.empty() && !subsets.empty()) {
             const auto [position, unbound_proxy] = *unbound_proxies.begin();
-            const auto [returned, without_initial_table, negative_rate, proxy] = position;
+            const auto [last_bound, without_initial_table, negative_rate, proxy] = position;
             const double rate = std::max(-negative_rate, 1e-3);
             const std::size_t subset = least_loaded_subset(unbound_proxy.zone, rate);
             const double in_grace = kAssuredPaceFraction * seconds(context.settings.drain_grace) *
