Admission is paused only where the pause is shorter than the withdrawals

Cause: before withdrawals that the channel can't carry in time a planner sends admission 0 to all bound proxies, and lifts it afterwards. The trace of a takeover has 184 and 240 such messages (2,544 lines) in one second, ahead of some 20 withdrawals that a subset's proxies needed one or two lines each for. Groups of proxies already asked for more withdrawals than the pause has lines; the sender to all proxies asked for nothing. Change: a pause and the message that ends it have to take fewer lines than one message with the withdrawals, for groups and for all proxies alike.

--- a/src/decision/group_sender.cpp
+++ b/src/decision/group_sender.cpp
@@ -15,13 +15,11 @@
     send_to_groups(WindowUse::learnt);
 }
 
-// Pausing admission costs each proxy a message, so it helps only groups that have to be sent more
-// withdrawals than it has lines.
 void GroupSender::update_admission_pause() {
     double lines = 0;
     for (const ProxyGroup& group : state_.subsets.groups().all()) {
         const auto withdrawals = static_cast<double>(group.count_unsent(WindowUse::urgent));
-        if (withdrawals > state_.admission_lines()) {
+        if (state_.is_pause_shorter_than(withdrawals)) {
             lines += withdrawals * static_cast<double>(group.proxies.size());
         }
     }
--- a/src/decision/scheduler_state.hpp
+++ b/src/decision/scheduler_state.hpp
@@ -65,6 +65,13 @@
     /// which costs service for that time.
     void update_admission_pause(double lines_to_send);
 
+    /// Whether the message that pauses admission at a proxy and the one that resumes it together
+    /// have fewer lines than one with so many withdrawals. Otherwise a pause delays the withdrawals
+    /// for longer than they take.
+    [[nodiscard]] bool is_pause_shorter_than(double withdrawals) const {
+        return 2 * (lines_per_message() + admission_lines()) < lines_per_message() + withdrawals;
+    }
+
     /// Overhead of a message in lines, including the line of its nonce.
     [[nodiscard]] double lines_per_message() const {
         return context.settings.overhead_lines_per_message + 1;
--- a/src/decision/update_sender.cpp
+++ b/src/decision/update_sender.cpp
@@ -28,10 +28,7 @@
 
 void UpdateSender::send() {
     Round round(state_);
-    const double proxies_per_subset =
-        1.0 * static_cast<double>(state_.subsets.bound_proxies().size()) /
-        static_cast<double>(std::max<std::size_t>(state_.subsets.size(), 1));
-    state_.update_admission_pause(state_.withdrawals.count * proxies_per_subset);
+    update_admission_pause();
     send_admission(round);
     send_transfers(round);
     send_table_changes(round);
@@ -41,6 +38,16 @@
     }
 }
 
+void UpdateSender::update_admission_pause() {
+    const auto subsets = static_cast<double>(std::max<std::size_t>(state_.subsets.size(), 1));
+    const double withdrawals_per_proxy = state_.withdrawals.count / subsets;
+    if (!state_.admission_paused && !state_.is_pause_shorter_than(withdrawals_per_proxy)) {
+        return;
+    }
+    const auto proxies = static_cast<double>(state_.subsets.bound_proxies().size());
+    state_.update_admission_pause(withdrawals_per_proxy * proxies);
+}
+
 void UpdateSender::send_admission(Round& round) {
     const AdmissionSetting setting = admission_.next_setting(state_.admission_paused);
     if (!admission_.is_significant(setting)) {
--- a/src/decision/update_sender.hpp
+++ b/src/decision/update_sender.hpp
@@ -51,6 +51,7 @@
         void add(const Cost& cost);
     };
 
+    void update_admission_pause();
     void send_admission(Round& round);
     void send_transfers(Round& round);
     void send_table_changes(Round& round);
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -968,10 +968,9 @@
         return proxies;
     }
     void send_by_group() {
-        // A pause costs each proxy a message, so it helps only groups that have to be sent more.
         double urgent_lines = 0;
         for (const Group& group : groups) {
-            if (group.count(0) > 1.0 * sent_admission.size()) {
+            if (is_pause_shorter_than(group.count(0))) {
                 urgent_lines += group.count(0) * 1.0 * group.proxies.size();
             }
         }
@@ -1166,6 +1165,12 @@
                    settings.channel_lines_per_second -
                (lines_per_message + 1) * 1.0 * bound_proxies.size();
     }
+    // A pause takes two messages. It delays the withdrawals for longer than they take if these have
+    // no more lines.
+    bool is_pause_shorter_than(double withdrawals) const {
+        return 2 * (lines_per_message + 1.0 * sent_admission.size()) <
+               lines_per_message + withdrawals;
+    }
     // Guards against more withdrawals than the channel carries within the grace, because of many
     // servers or many proxies: nothing is admitted until they are sent. It costs service meanwhile.
     void update_admission_pause(double lines_to_send) {
@@ -1576,9 +1581,11 @@
                    (rank == 0 || is_reinstatement ||
                     allows_learnt(lines_to_bound(kDesignLinesPerMessage, extra_lines, subset)));
         };
-        const double proxies_per_subset =
-            1.0 * bound_proxies.size() / std::max<std::size_t>(subsets.size(), 1);
-        update_admission_pause(pending_withdrawals * proxies_per_subset);
+        const double withdrawals_per_proxy =
+            1.0 * pending_withdrawals / std::max<std::size_t>(subsets.size(), 1);
+        if (admission_paused || is_pause_shorter_than(withdrawals_per_proxy)) {
+            update_admission_pause(withdrawals_per_proxy * 1.0 * bound_proxies.size());
+        }
         const RealVector admission_fractions = wanted_admission * (admission_paused ? 0.0 : 1.0);
         const RealVector pool_admission = wanted_pool_admission();
         const bool no_retries = warming_up || admission_fractions.min() < 1,
