A new server that gets no traffic yet is not withdrawn

Cause: a server that is listed as just started has a weight of 0 for a quarter of its warm-up, and a weight of 0 went out as a withdrawal, as urgent as that of a draining server. Change: a server that is listed for the first time after the first list, with its start, counts as withdrawn from the first, without an order, until it drains, restarts, or is put into use. No planner can have put it into use before that start. Servers that the first list has, and those that restart, are withdrawn as before. Test: scenario new-server, fails before.

--- a/src/decision/endpoint_tracker.cpp
+++ b/src/decision/endpoint_tracker.cpp
@@ -15,6 +15,7 @@
     }
     const bool restarted =
         message.entry.last_start && message.entry.last_start != status_.listed.last_start;
+    const bool is_new = first_listed ? !message.in_first_list : status_.is_new && !restarted;
     if (restarted) {
         status_ = EndpointStatus{};
     }
@@ -25,6 +26,7 @@
     status_.open = status_.listed.phase == EndpointPhase::ready;
     status_.steady =
         (status_.steady || message.in_first_list) && status_.open && !status_.listed.last_start;
+    status_.is_new = is_new && status_.open && status_.listed.last_start;
     publish_status();
 }
 
@@ -36,6 +38,7 @@
         return;
     }
     status_.steady = false;
+    status_.is_new = false;
     status_.open = status_.open && status_.last_success && context_.settings.unlisted_may_serve;
     publish_status();
 }
--- a/src/decision/messages.hpp
+++ b/src/decision/messages.hpp
@@ -50,6 +50,9 @@
     /// Ready since the first list, without a known start time: no planner had a reason to withdraw
     /// it.
     bool steady = false;
+    /// Listed for the first time after the first list, with a known start time, and ready ever
+    /// since: no planner put it into use before it started.
+    bool is_new = false;
 
     bool gone() const { return !open && listed.phase == EndpointPhase::gone; }
 };
@@ -68,6 +71,7 @@
     /// Pool index and fraction of the pool's traffic; shares of 0 are left out.
     std::vector<std::pair<std::size_t, double>> shares;
     bool steady = false;  ///< as EndpointStatus::steady
+    bool is_new = false;  ///< as EndpointStatus::is_new
     bool cold = false;    ///< still warming up
     bool last = false;    ///< the server is gone; no later message names it
 };
--- a/src/decision/pool_membership.cpp
+++ b/src/decision/pool_membership.cpp
@@ -34,7 +34,8 @@
 bool published_state_differs(const EndpointStatus& before, const EndpointStatus& after) {
     return before.open != after.open || before.listed.kind != after.listed.kind ||
            before.listed.zone != after.listed.zone || before.steady != after.steady ||
-           before.gone() != after.gone() || before.listed.size != after.listed.size ||
+           before.is_new != after.is_new || before.gone() != after.gone() ||
+           before.listed.size != after.listed.size ||
            before.listed.last_start != after.listed.last_start;
 }
 
@@ -223,6 +224,7 @@
     weights.server = status.listed.server;
     weights.zone = status.listed.zone;
     weights.steady = status.steady;
+    weights.is_new = status.is_new;
     weights.cold = member.cold;
     weights.last = status.gone();
     for (const PlaceInPool& held : member.places) {
--- a/src/decision/update_planner.cpp
+++ b/src/decision/update_planner.cpp
@@ -195,7 +195,9 @@
 bool UpdatePlanner::is_withdrawal_to_repeat(const RoutingEntry& entry) const {
     const UnboundProxies& unbound = state_.unbound_proxies;
     const int newest_unbound = unbound.empty() ? 0 : unbound.last_join();
-    return entry.withdrawn && proxies_joined_ && state_.context.now < end_of_withdrawal(entry) &&
+    const bool was_sent = entry.availability_changed != TimePoint{};
+    return entry.withdrawn && was_sent && proxies_joined_ &&
+           state_.context.now < end_of_withdrawal(entry) &&
            entry.notified_until_join < newest_unbound;
 }
 
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -36,6 +36,11 @@
     RoutingEntry& entry = tables.find_or_add(desired.server);
     tables.update_and_recount_lines(entry,
                                     [&] { entry.may_be_withdrawn_at_proxies |= !desired.steady; });
+    // No proxy holds an entry of a new server. That is as if it were withdrawn, and is not sent.
+    const bool never_in_use = entry.sent() == 0 && entry.availability_changed == TimePoint{};
+    if (never_in_use && desired.shares.empty()) {
+        entry.withdrawn = desired.is_new;
+    }
     tables.set_published(entry, desired.shares);
     tables.set_tracked(entry, !desired.last, state_.context.now);
     tables.set_warming_up(entry, desired.cold);
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -49,8 +49,9 @@
         if (message.entry.phase == EndpointPhase::gone && !first_listed) {
             return on(EndpointUnlisted{});
         }
+        bool is_new = first_listed ? !message.in_first_list : status.is_new;
         if (message.entry.last_start && message.entry.last_start != status.entry.last_start) {
-            status = EndpointStatus{};
+            status = EndpointStatus{}, is_new = is_new && first_listed;
         }
         status.entry = message.entry;
         if (!std::isfinite(status.entry.size) || status.entry.size <= 0) {
@@ -59,6 +60,7 @@
         status.open = status.entry.phase == EndpointPhase::ready;
         status.steady =
             (status.steady || message.in_first_list) && status.open && !status.entry.last_start;
+        status.is_new = is_new && status.open && status.entry.last_start;
         send_status();
     }
 
@@ -68,7 +70,7 @@
         if (std::exchange(status.entry.phase, EndpointPhase::gone) == EndpointPhase::gone) {
             return;
         }
-        status.steady = false;
+        status.steady = status.is_new = false;
         status.open = status.open && status.last_success && context.settings.unlisted_may_serve;
         send_status();
     }
@@ -750,6 +752,11 @@
         if (entry.sent.size() == 0) {
             entry.sent = 0 * message.shares;
         }
+        // No proxy holds an entry of a new server, so its withdrawal is not sent.
+        if (entry.sent.sum() == 0 && entry.withdrawn_at == TimePoint{} &&
+            message.shares.sum() == 0) {
+            entry.withdrawn = message.status.is_new;
+        }
         entry.wanted = entry.published = message.shares, entry.updated_at = context.now,
         weights_changed = true;
         entry.zone = message.status.entry.zone, entry.may_be_withdrawn |= !message.status.steady,
@@ -1445,7 +1452,7 @@
             const TimePoint grace_end = entry.withdrawn_at + context.settings.drain_grace +
                                         context.settings.max_message_delay;
             const bool is_repeated = must_withdraw && entry.withdrawn && proxy_joined &&
-                                     context.now < grace_end &&
+                                     entry.withdrawn_at != TimePoint{} && context.now < grace_end &&
                                      entry.last_notified_join < newest_join;
             if (!must_withdraw || entry.withdrawal_due == TimePoint{}) {
                 entry.withdrawal_due = must_withdraw ? context.now : TimePoint{};
@@ -1482,9 +1489,9 @@
         }
         owed_withdrawals = pending_withdrawals;
         for (const auto& [server, entry] : servers) {
-            owed_withdrawals +=
-                entry.withdrawn && context.now < entry.withdrawn_at + context.settings.drain_grace +
-                                                     context.settings.max_message_delay;
+            owed_withdrawals += entry.withdrawn && entry.withdrawn_at != TimePoint{} &&
+                                context.now < entry.withdrawn_at + context.settings.drain_grace +
+                                                  context.settings.max_message_delay;
         }
         std::sort(pending_changes.begin(), pending_changes.end()),
             weights_changed = proxy_joined = false;
--- a/tests/reference/notes.hpp
+++ b/tests/reference/notes.hpp
@@ -33,6 +33,7 @@
     double attempts = 0, failures = 0, success_latency_sum = 0, window_seconds = 0;
     bool steady = false;  // ready since the first list, without a known start: nobody had a reason
                           // to withdraw it
+    bool is_new = false;  // first listed after the first list, with its start, and ready since
     bool gone() const { return !open && entry.phase == EndpointPhase::gone; }
 };
 struct ZonedLoadReport {
