A proxy whose tables are larger than the send window delays no other

Cause: the binder ends its round at a binding that does not fit. One that is larger than the whole window never does. Change: such a proxy is passed over. It still keeps its own tables and gets withdrawals alone: its tables would need more than one message, which is open (docs/ROADMAP.md). The reference planner alike.

--- a/src/decision/proxy_binder.cpp
+++ b/src/decision/proxy_binder.cpp
@@ -39,7 +39,8 @@
 // withdrawals. If whole tables for all of them would take longer than the drain grace, each is
 // first bound partially, to a few endpoints, which costs a second binding.
 //
-// A proxy that can't be bound yet as its pools have no endpoint in use does not delay the others.
+// A proxy does not delay the others if it can't be bound: its pools have no endpoint in use yet, or
+// its tables are larger than the send window.
 void ProxyBinder::bind_joined() {
     const double sent_in_grace =
         kAssuredPaceFraction * state_.drain_grace_seconds() * state_.pace();
@@ -57,6 +58,9 @@
         }
         const Target target{joined.proxy, joined.zone, rate, subset};
         const double cost = cost_of_binding(target.zone, subset);
+        if (cost > state_.max_window(WindowUse::urgent)) {
+            continue;
+        }
         const bool urgent = state_.withdrawals.owed_to_unbound_proxy > cost;
         const double pending = state_.send_window.pending();
         const double waiting_proxies = static_cast<double>(unbound.size());
--- a/src/decision/scheduler_state.hpp
+++ b/src/decision/scheduler_state.hpp
@@ -42,6 +42,8 @@
     explicit SchedulerState(DecisionContext& shared_context)
         : context(shared_context), message_limit(shared_context.settings) {}
 
+    /// Lines that may be pending in all.
+    [[nodiscard]] double max_window(WindowUse use) const;
     /// Lines that may be written now; negative if too many are pending already.
     [[nodiscard]] double available_window(WindowUse use) const;
     /// Lines that an update may have that is larger than the window for its use; 0 while anything
@@ -108,7 +110,6 @@
     bool any_warming_up = false;  ///< whether any endpoint was when weights were last published
 
  private:
-    [[nodiscard]] double max_window(WindowUse use) const;
     [[nodiscard]] double max_large_update() const;
     /// Most lines of an update to a proxy that can't be divided: all admissions, or an endpoint's
     /// entry for each method together with a reinstatement.
--- a/tests/reference/balance.cpp
+++ b/tests/reference/balance.cpp
@@ -1832,6 +1832,9 @@
                                                               context.settings.drain_grace / 4)) {
                 continue;
             }
+            if (cost > max_window(0)) {  // it would never fit, and delay all others
+                continue;
+            }
             const bool urgent = owed_withdrawals > cost;
             // A proxy whose binding does not fit waits and keeps using its own tables.
             const double max_cost = available_window(send_window.pending() > 0 && !urgent ? -1 : 0);
